--- /dev/null
+++ b/Libraries/Budget/budget.cpp
@@ -0,0 +1,217 @@
+#include "Budget/budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthhoist {
+
+static std::int64_t amountOf(const amounts &Amounts, const std::string &Name) {
+  auto Found = Amounts.find(Name);
+  return Found == Amounts.end() ? 0 : Found->second;
+}
+
+static std::int64_t sumOfRows(const pool_record &Record,
+                              const std::string &Resource) {
+  std::int64_t Sum = 0;
+  for (const auto &[Holder, Row] : Record.Shares)
+    Sum += amountOf(Row, Resource);
+  return Sum;
+}
+
+/// An operator may lower a limit below the sum of the rows. Until the rows
+/// follow, every holder scales its own grant by the same factor, so the sum in
+/// use is below the new limit as soon as each has heard of it.
+static std::int64_t scaledGrant(const budget_holder &Holder,
+                                const std::string &Resource,
+                                std::int64_t Granted) {
+  const std::int64_t Limit = amountOf(Holder.Limits, Resource);
+  const std::int64_t Sum = sumOfRows(Holder.Record, Resource);
+  if (Sum <= Limit)
+    return Granted;
+  return Granted * Limit / Sum;
+}
+
+static std::int64_t borrowedUnits(const budget_holder &Holder,
+                                  const std::string &Resource, instant Now) {
+  std::int64_t Sum = 0;
+  for (const auto &[Id, Loan] : Holder.Taken)
+    if (Loan.Resource == Resource && Now < Loan.Expiry)
+      Sum += Loan.Units;
+  return Sum;
+}
+
+static const share &shareOf(const budget_holder &Holder,
+                            const std::string &Resource) {
+  static const share Empty;
+  auto Found = Holder.Shares.find(Resource);
+  return Found == Holder.Shares.end() ? Empty : Found->second;
+}
+
+std::int64_t availableUnits(const budget_holder &Holder,
+                            const std::string &Resource, instant Now) {
+  const share &Share = shareOf(Holder, Resource);
+  const std::int64_t Free = scaledGrant(Holder, Resource, Share.Granted) -
+                            Share.Lent - Share.Used +
+                            borrowedUnits(Holder, Resource, Now);
+  return std::max<std::int64_t>(Free, 0);
+}
+
+bool takeUnits(budget_holder &Holder, std::span<const resource_amount> Wanted,
+               instant Now) {
+  for (const resource_amount &Amount : Wanted)
+    if (availableUnits(Holder, Amount.Resource, Now) < Amount.Units)
+      return false;
+  for (const resource_amount &Amount : Wanted)
+    Holder.Shares[Amount.Resource].Used += Amount.Units;
+  return true;
+}
+
+void releaseUnits(budget_holder &Holder,
+                  std::span<const resource_amount> Amounts) {
+  for (const resource_amount &Amount : Amounts)
+    Holder.Shares[Amount.Resource].Used -= Amount.Units;
+}
+
+static void applyOwnRow(budget_holder &Holder) {
+  auto Row = Holder.Record.Shares.find(Holder.Self);
+  for (auto &[Resource, Share] : Holder.Shares)
+    Share.Granted = 0;
+  if (Row == Holder.Record.Shares.end())
+    return;
+  for (const auto &[Resource, Units] : Row->second)
+    Holder.Shares[Resource].Granted = Units;
+}
+
+void observeRecord(budget_holder &Holder, const pool_record &Record) {
+  // A delayed read of an older version, or of the version on which our own
+  // unanswered update is based, would raise the grant while that update still
+  // may lower the row. Only a newer version proves that it can't any more.
+  if (Record.Version <= Holder.Record.Version)
+    return;
+  Holder.Record = Record;
+  Holder.Pending.reset();
+  applyOwnRow(Holder);
+}
+
+void observeDeath(budget_holder &Holder, const std::string &Incarnation,
+                  instant Now) {
+  if (Incarnation != Holder.Self)
+    Holder.Dead.try_emplace(Incarnation, Now);
+}
+
+/// The dead whose last request, and last request on units borrowed from them,
+/// has surely ended.
+static std::set<std::string> reclaimable(const budget_holder &Holder,
+                                         const budget_timing &Timing,
+                                         instant Now) {
+  std::set<std::string> Names;
+  for (const auto &[Incarnation, Since] : Holder.Dead)
+    if (Now >= Since + Timing.ReclaimDelay)
+      Names.insert(Incarnation);
+  return Names;
+}
+
+/// Equal parts of a limit. The remainder starts at a row that depends on the
+/// resource, so that all holders compute the same split from the same record
+/// and no row gets every target's odd slot.
+static std::int64_t fairUnits(const pool_record &Record,
+                              const std::string &Self,
+                              const std::string &Resource,
+                              std::int64_t Limit) {
+  const auto Rows = static_cast<std::int64_t>(Record.Shares.size());
+  const auto Rank = static_cast<std::int64_t>(
+      std::distance(Record.Shares.begin(), Record.Shares.find(Self)));
+  const auto Start = static_cast<std::int64_t>(
+      stableHash(Resource) % static_cast<std::uint64_t>(Rows));
+  return Limit / Rows + ((Rank + Start) % Rows < Limit % Rows ? 1 : 0);
+}
+
+static std::int64_t nextUnits(const budget_holder &Holder,
+                              const pool_record &Next,
+                              const std::string &Resource, std::int64_t Limit) {
+  const std::int64_t Row = amountOf(Next.Shares.at(Holder.Self), Resource);
+  const std::int64_t Fair = fairUnits(Next, Holder.Self, Resource, Limit);
+  const share &Share = shareOf(Holder, Resource);
+  if (Row > Fair)
+    return std::min(Row, std::max(Fair, Share.Used + Share.Lent));
+  const std::int64_t Free = Limit - sumOfRows(Next, Resource);
+  return Row + std::clamp<std::int64_t>(Free, 0, Fair - Row);
+}
+
+static void forgetLoansOfDead(budget_holder &Holder,
+                              const std::set<std::string> &Names) {
+  std::erase_if(Holder.Given, [&](const auto &Entry) {
+    if (!Names.contains(Entry.second.Peer))
+      return false;
+    Holder.Shares[Entry.second.Resource].Lent -= Entry.second.Units;
+    return true;
+  });
+  std::erase_if(Holder.Returning, [&](const auto &Entry) {
+    return Names.contains(Entry.second.Peer);
+  });
+}
+
+std::optional<pool_record> planUpdate(budget_holder &Holder,
+                                      const budget_timing &Timing,
+                                      instant Now) {
+  const std::set<std::string> Gone = reclaimable(Holder, Timing, Now);
+  forgetLoansOfDead(Holder, Gone);
+  if (Holder.Pending) {
+    if (!std::exchange(Holder.Pending->Repeat, false))
+      return std::nullopt;
+    return Holder.Pending->Proposed;
+  }
+  pool_record Next = Holder.Record;
+  std::erase_if(Next.Shares,
+                [&](const auto &Row) { return Gone.contains(Row.first); });
+  Next.Shares.try_emplace(Holder.Self);
+  amounts &Own = Next.Shares[Holder.Self];
+  for (const auto &[Resource, Limit] : Holder.Limits)
+    Own[Resource] = nextUnits(Holder, Next, Resource, Limit);
+  std::erase_if(Own, [&](const auto &Entry) {
+    return !Holder.Limits.contains(Entry.first) &&
+           shareOf(Holder, Entry.first).Used == 0;
+  });
+  if (Next.Shares == Holder.Record.Shares)
+    return std::nullopt;
+  for (auto &[Resource, Share] : Holder.Shares)
+    Share.Granted = std::min(Share.Granted, amountOf(Own, Resource));
+  Holder.Pending = pending_update{Next};
+  return Next;
+}
+
+std::optional<pool_record> planLeave(budget_holder &Holder) {
+  if (Holder.Pending) {
+    if (!std::exchange(Holder.Pending->Repeat, false))
+      return std::nullopt;
+    return Holder.Pending->Proposed;
+  }
+  for (const auto &[Resource, Share] : Holder.Shares)
+    if (Share.Used != 0 || Share.Lent != 0)
+      return std::nullopt;
+  const bool Borrows = !Holder.Taken.empty() || !Holder.Returning.empty();
+  if (Borrows || !Holder.Record.Shares.contains(Holder.Self))
+    return std::nullopt;
+  pool_record Next = Holder.Record;
+  Next.Shares.erase(Holder.Self);
+  for (auto &[Resource, Share] : Holder.Shares)
+    Share.Granted = 0;
+  Holder.Pending = pending_update{Next};
+  return Next;
+}
+
+void updateAnswered(budget_holder &Holder, const pool_record &Proposed,
+                    update_result Result, std::int64_t NewVersion) {
+  // Conflict: a newer version exists and will be observed. Uncertain: the
+  // write may take effect at any time, so the lower of both grants holds until
+  // a newer version is seen.
+  if (Result == update_result::Uncertain && Holder.Pending)
+    Holder.Pending->Repeat = true;
+  if (Result != update_result::Written)
+    return;
+  pool_record Written = Proposed;
+  Written.Version = NewVersion;
+  observeRecord(Holder, Written);
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Budget/loans.cpp
@@ -0,0 +1,146 @@
+#include "Budget/budget.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+using kind = loan_message::kind;
+
+static loan_message makeMessage(kind Kind, const std::string &Id,
+                                const loan &Loan) {
+  return {Kind, {}, Id, Loan.Resource, Loan.Units};
+}
+
+outgoing_loan_message requestLoan(budget_holder &Holder,
+                                  const std::string &Peer,
+                                  const std::string &Resource,
+                                  std::int64_t Units, instant Now) {
+  const std::string Id =
+      Holder.Self + "/" + std::to_string(Holder.NextLoan++);
+  Holder.Requested.emplace(Id, Now);
+  return {Peer, {kind::Borrow, {}, Id, Resource, Units}};
+}
+
+/// A lender keeps half of what is idle, so two holders that are both short
+/// don't pass the same units back and forth.
+static std::int64_t unitsToLend(const budget_holder &Holder,
+                                const loan_message &Message, instant Now) {
+  auto Found = Holder.Shares.find(Message.Resource);
+  if (Found == Holder.Shares.end())
+    return 0;
+  const share &Share = Found->second;
+  const std::int64_t OwnIdle = Share.Granted - Share.Lent - Share.Used;
+  const std::int64_t Idle =
+      std::min(OwnIdle, availableUnits(Holder, Message.Resource, Now));
+  return std::clamp<std::int64_t>((Idle + 1) / 2, 0, Message.Units);
+}
+
+static std::vector<outgoing_loan_message>
+lend(budget_holder &Holder, const std::string &From,
+     const loan_message &Message, instant Now) {
+  auto Known = Holder.Given.find(Message.LoanId);
+  if (Known == Holder.Given.end()) {
+    if (Holder.Dead.contains(From))
+      return {};
+    const std::int64_t Units = unitsToLend(Holder, Message, Now);
+    if (Units == 0)
+      return {};
+    // Counted as lent before the borrower can hear of it.
+    Holder.Shares[Message.Resource].Lent += Units;
+    Known = Holder.Given
+                .emplace(Message.LoanId,
+                         loan{From, Message.Resource, Units, instant{}})
+                .first;
+  }
+  return {{From, makeMessage(kind::Lend, Message.LoanId, Known->second)}};
+}
+
+/// Renewal extends the lease from the time of receipt. The lender is alive when
+/// it sends, and waits ReclaimDelay after its proved death, which is longer
+/// than any lease that a message under way may still start.
+static std::vector<outgoing_loan_message>
+acceptLoan(budget_holder &Holder, const std::string &From,
+           const loan_message &Message, const budget_timing &Timing,
+           instant Now) {
+  auto Taken = Holder.Taken.find(Message.LoanId);
+  if (Taken != Holder.Taken.end()) {
+    if (!Holder.Dead.contains(From))
+      Taken->second.Expiry = Now + Timing.LoanLease;
+    return {};
+  }
+  const loan Loan{From, Message.Resource, Message.Units,
+                  Now + Timing.LoanLease};
+  // Without this check a late copy of a loan already returned would be taken
+  // again while the lender uses the same units: two requests on one unit. It is
+  // answered, or the lender would count it as lent for good.
+  if (Holder.Requested.erase(Message.LoanId) == 0 || Holder.Dead.contains(From))
+    return {{From, makeMessage(kind::Return, Message.LoanId, Loan)}};
+  Holder.Taken.emplace(Message.LoanId, Loan);
+  return {};
+}
+
+static std::vector<outgoing_loan_message>
+takeBack(budget_holder &Holder, const std::string &From,
+         const loan_message &Message) {
+  auto Known = Holder.Given.find(Message.LoanId);
+  if (Known != Holder.Given.end()) {
+    Holder.Shares[Known->second.Resource].Lent -= Known->second.Units;
+    Holder.Given.erase(Known);
+  }
+  loan_message Reply = Message;
+  Reply.Kind = kind::Returned;
+  return {{From, Reply}};
+}
+
+std::vector<outgoing_loan_message>
+handleLoanMessage(budget_holder &Holder, const std::string &From,
+                  const loan_message &Message, const budget_timing &Timing,
+                  instant Now) {
+  switch (Message.Kind) {
+  case kind::Borrow:
+    return lend(Holder, From, Message, Now);
+  case kind::Lend:
+    return acceptLoan(Holder, From, Message, Timing, Now);
+  case kind::Return:
+    return takeBack(Holder, From, Message);
+  case kind::Returned:
+    Holder.Returning.erase(Message.LoanId);
+    return {};
+  }
+  return {};
+}
+
+/// A loan goes back only when what is left still covers the work in progress:
+/// a unit under a long export returns when the export ends, never by time.
+static void returnIdleLoans(budget_holder &Holder) {
+  for (auto Loan = Holder.Taken.begin(); Loan != Holder.Taken.end();) {
+    const share &Share = Holder.Shares[Loan->second.Resource];
+    std::int64_t Total = Share.Granted - Share.Lent;
+    for (const auto &[Id, Other] : Holder.Taken)
+      if (Other.Resource == Loan->second.Resource)
+        Total += Other.Units;
+    if (Share.Used > Total - Loan->second.Units) {
+      ++Loan;
+      continue;
+    }
+    Holder.Returning.insert(*Loan);
+    Loan = Holder.Taken.erase(Loan);
+  }
+}
+
+std::vector<outgoing_loan_message> loanTick(budget_holder &Holder,
+                                            const budget_timing &Timing,
+                                            instant Now) {
+  std::erase_if(Holder.Requested, [&](const auto &Entry) {
+    return Now >= Entry.second + Timing.LoanLease;
+  });
+  returnIdleLoans(Holder);
+  std::vector<outgoing_loan_message> Messages;
+  for (const auto &[Id, Loan] : Holder.Given)
+    Messages.push_back({Loan.Peer, makeMessage(kind::Lend, Id, Loan)});
+  for (const auto &[Id, Loan] : Holder.Returning)
+    Messages.push_back({Loan.Peer, makeMessage(kind::Return, Id, Loan)});
+  return Messages;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/ControlLink/control_link.cpp
@@ -0,0 +1,122 @@
+#include "ControlLink/control_link.h"
+
+#include "Logging/logging.h"
+#include "Protocol/protocol.h"
+
+namespace amaranthhoist {
+
+static constexpr std::uint32_t PollWaitMs = 2'000;
+static constexpr duration PollLimit = std::chrono::milliseconds(4'000);
+static constexpr duration RetryPause = std::chrono::milliseconds(100);
+static constexpr duration UpdateLimit = std::chrono::milliseconds(5'000);
+
+control_link::control_link(rpc_loop &Loop, std::string Address,
+                           link_identity Identity, view_listener Listener)
+    : Loop(Loop), Address(std::move(Address)), Identity(std::move(Identity)),
+      Listener(std::move(Listener)) {}
+
+void control_link::start() {
+  Loop.run([this] { poll(); });
+}
+
+void control_link::poll() {
+  auto Request = Loop.peer<wire::Control>(Address).changesRequest();
+  Request.setEpoch(Epoch);
+  Request.setSequence(Sequence);
+  Request.setWaitMs(PollWaitMs);
+  Request.setDaemon(splitKey(Identity.Key).Kind);
+  kj::Promise<capnp::Response<wire::Control::ChangesResults>> Call =
+      Request.send();
+  Loop.keep(
+      Loop.within(PollLimit, kj::mv(Call))
+          .then(
+              [this](capnp::Response<wire::Control::ChangesResults> Response)
+                  -> kj::Promise<void> {
+                Epoch = Response.getEpoch();
+                Sequence = Response.getSequence();
+                updateView(View, readItems(Response.getItems()));
+                Down.clear();
+                for (const capnp::Text::Reader Name : Response.getDown())
+                  Down.insert(toString(Name));
+                registerIfNeeded();
+                Listener(View, Down);
+                poll();
+                return kj::READY_NOW;
+              },
+              [this](kj::Exception &&) -> kj::Promise<void> {
+                // The control restarts or hangs: what is known stays in force.
+                Loop.dropPeer(Address);
+                return Loop.after(RetryPause).then([this] { poll(); });
+              }));
+}
+
+void control_link::registerIfNeeded() {
+  if (Identity.Key.empty() || Incarnation != 0 || Writing || Leaving)
+    return;
+  auto Held = View.Items.find(Identity.Key);
+  const std::int64_t Base = Held == View.Items.end() ? 0 : Held->second.Version;
+  if (Base != 0 && !Held->second.Deleted) {
+    // The answer to our write may have been lost after it took effect.
+    const result<daemon_record> Record = parseDaemon(Held->second.Value);
+    if (Record && Record->OperationId == Identity.Record.OperationId) {
+      Incarnation = Base;
+      return;
+    }
+  }
+  Writing = true;
+  update(Identity.Key, formatDaemon(Identity.Record), Base, false,
+         [this](update_result Result, std::int64_t Version) {
+           Writing = false;
+           if (Result != update_result::Written) {
+             // Tried again with the next batch of changes.
+             return;
+           }
+           Incarnation = Version;
+           logLine(log_level::Info, "registered",
+                   {{"key", Identity.Key},
+                    {"incarnation", std::to_string(Version)}});
+           Listener(View, Down);
+         });
+}
+
+void control_link::update(const std::string &Key, const std::string &Value,
+                          std::int64_t BaseVersion, bool Deleted,
+                          update_listener OnAnswer) {
+  auto Request = Loop.peer<wire::Control>(Address).updateRequest();
+  Request.setKey(Key);
+  Request.setValue(Value);
+  Request.setBaseVersion(BaseVersion);
+  Request.setDeleted(Deleted);
+  kj::Promise<capnp::Response<wire::Control::UpdateResults>> Call =
+      Request.send();
+  Loop.keep(Loop.within(UpdateLimit, kj::mv(Call))
+                .then(
+                    [OnAnswer](
+                        capnp::Response<wire::Control::UpdateResults> Answer) {
+                      switch (Answer.getResult()) {
+                      case wire::UpdateResult::WRITTEN:
+                        OnAnswer(update_result::Written, Answer.getVersion());
+                        return;
+                      case wire::UpdateResult::CONFLICT:
+                        OnAnswer(update_result::Conflict, 0);
+                        return;
+                      case wire::UpdateResult::UNCERTAIN:
+                        OnAnswer(update_result::Uncertain, 0);
+                        return;
+                      }
+                    },
+                    [OnAnswer](kj::Exception &&) {
+                      OnAnswer(update_result::Uncertain, 0);
+                    }));
+}
+
+void control_link::unregister() {
+  Leaving = true;
+  if (Identity.Key.empty() || Incarnation == 0)
+    return;
+  update(Identity.Key, "", Incarnation, true,
+         [](update_result, std::int64_t) {});
+  Incarnation = 0;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/ControlLink/control_link.h
@@ -0,0 +1,67 @@
+/// A daemon's link to the control of its own instance: the stream of objects,
+/// writes to the platform, and the daemon's registration.
+#pragma once
+
+#include "Objects/objects.h"
+#include "Rpc/rpc.h"
+
+#include <functional>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amaranthhoist {
+
+/// Called on the loop's thread after each batch of changes.
+using view_listener = std::function<void(const object_view &View,
+                                         const std::set<std::string> &Down)>;
+/// Called on the loop's thread with the answer to a write.
+using update_listener =
+    std::function<void(update_result Result, std::int64_t Version)>;
+
+/// Who this daemon is, and the key it registers under.
+struct link_identity {
+  /// Key of the daemon's own object; empty: it doesn't register.
+  std::string Key;
+  daemon_record Record;
+};
+
+class control_link {
+public:
+  control_link(rpc_loop &Loop, std::string Address, link_identity Identity,
+               view_listener Listener);
+
+  /// Begins to follow the control; returns at once.
+  void start();
+
+  /// Sends a conditional update. On the loop's thread only.
+  void update(const std::string &Key, const std::string &Value,
+              std::int64_t BaseVersion, bool Deleted,
+              update_listener Listener);
+
+  /// The incarnation of this daemon, or 0 until it is registered. On the loop's
+  /// thread only.
+  std::int64_t incarnation() const { return Incarnation; }
+
+  /// Deletes the daemon's object, so that nobody names it any more.
+  void unregister();
+
+private:
+  void poll();
+  void registerIfNeeded();
+
+  rpc_loop &Loop;
+  std::string Address;
+  link_identity Identity;
+  view_listener Listener;
+  object_view View;
+  std::set<std::string> Down;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Sequence = 0;
+  std::int64_t Incarnation = 0;
+  bool Writing = false;
+  bool Leaving = false;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Core/core.cpp
@@ -0,0 +1,25 @@
+#include "Core/core.h"
+
+#include <xxhash.h>
+
+namespace amaranthhoist {
+
+std::string_view toString(outcome Value) {
+  switch (Value) {
+  case outcome::Answered:
+    return "answered";
+  case outcome::Refused:
+    return "refused";
+  case outcome::NotRun:
+    return "not-run";
+  case outcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::uint64_t stableHash(std::string_view Text, std::uint64_t Seed) {
+  return XXH3_64bits_withSeed(Text.data(), Text.size(), Seed);
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Entry/entry.cpp
@@ -0,0 +1,336 @@
+#include "Entry/entry.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+using actions = std::vector<entry_action>;
+
+entry_node makeEntry(const entry_settings &Settings) {
+  entry_node Node;
+  Node.Settings = Settings;
+  Node.Random.seed(Settings.Seed);
+  return Node;
+}
+
+static const contract *findContract(const entry_node &Node,
+                                    const std::string &Customer) {
+  auto Found = Node.Contracts.find(Customer);
+  return Found == Node.Contracts.end() ? nullptr : &Found->second;
+}
+
+static bool permits(const std::vector<std::string> &Names,
+                    const std::string &Name) {
+  return Names.empty() ||
+         std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+std::vector<offer> candidateOffers(entry_node &Node,
+                                   const std::string &Customer,
+                                   const std::string &Service, instant Now) {
+  const contract *Contract = findContract(Node, Customer);
+  auto Known = Node.Offers.find(Service);
+  if (!Contract || Known == Node.Offers.end())
+    return {};
+  std::vector<offer> Offers;
+  std::set<std::string> Sites;
+  for (const auto &[Gateway, Offer] : Known->second) {
+    if (!permits(Contract->Regions, Offer.Region) ||
+        Node.DrainingSites.contains(Offer.Site))
+      continue;
+    Offers.push_back(Offer);
+    Sites.insert(Offer.Site);
+  }
+  const std::vector<std::string> SiteList(Sites.begin(), Sites.end());
+  return rankOffers(Offers, Customer, preferredSite(SiteList, Customer),
+                    Node.Settings.Routing, Now, Node.Random);
+}
+
+result<home_token> chooseHome(entry_node &Node, const std::string &Customer,
+                              const std::string &Service,
+                              std::int64_t ExpiresAtMs, instant Now) {
+  const std::vector<offer> Ranked =
+      candidateOffers(Node, Customer, Service, Now);
+  for (const offer &Owner : Ranked) {
+    if (Owner.Suspect)
+      continue;
+    for (const offer &Witness : Ranked) {
+      // The same region keeps the round trip before each send short.
+      if (Witness.Suspect || Witness.Region != Owner.Region ||
+          Witness.FailureDomain == Owner.FailureDomain)
+        continue;
+      return home_token{Owner.Gateway, Witness.Gateway, ExpiresAtMs};
+    }
+  }
+  return fail(error_code::NotFound, "no region has an owner and a witness");
+}
+
+static void finish(entry_node &Node, std::uint64_t Token, outcome Outcome,
+                   const std::string &Reason, duration RetryAfter,
+                   actions &Actions) {
+  auto Found = Node.Work.find(Token);
+  if (Found == Node.Work.end())
+    return;
+  releaseLimit(Node.Limits[Found->second.Request.Customer]);
+  Node.Work.erase(Found);
+  Actions.push_back(finish_caller{Token, Outcome, Reason, RetryAfter});
+}
+
+static duration comeBack(const entry_node &Node,
+                         const caller_request &Request) {
+  return spreadRetryAfter(Node.Settings.RetryAfter, Request.RequestId);
+}
+
+static void forward(entry_node &Node, entry_work &Work,
+                    const std::string &Gateway, actions &Actions) {
+  const contract *Contract = findContract(Node, Work.Request.Customer);
+  ++Work.Forwards;
+  forward_request Action;
+  Action.Token = Work.Request.Token;
+  Action.Gateway = Gateway;
+  Action.Priority = Contract ? Contract->Priority : 0;
+  Action.Weight = Contract ? Contract->Weight : 1;
+  Action.Deadline = Work.Request.Deadline;
+  Actions.push_back(Action);
+}
+
+static void askTheWitness(entry_work &Work, actions &Actions) {
+  Work.AskedWitness = true;
+  Actions.push_back(
+      ask_witness{Work.Request.Token, Work.Home.Witness, Work.Request.Key});
+}
+
+/// Why a request is turned away before it is forwarded; empty when it isn't.
+static std::string refusalOf(entry_node &Node, const caller_request &Request,
+                             instant Now) {
+  const contract *Contract = findContract(Node, Request.Customer);
+  if (!Contract)
+    return "no contract for this customer";
+  if (!permits(Contract->Services, Request.Service))
+    return "the contract doesn't include this service";
+  if (Now >= Request.Deadline)
+    return "the deadline has passed";
+  switch (takeLimit(Node.Limits[Request.Customer], *Contract, Node.Entries,
+                    Now)) {
+  case limit_verdict::Allowed:
+    return {};
+  case limit_verdict::RateLimited:
+    return "over the contract's rate";
+  case limit_verdict::TooMany:
+    return "over the contract's concurrency";
+  }
+  return {};
+}
+
+static void startKeyed(entry_node &Node, entry_work &Work, actions &Actions) {
+  result<parsed_key> Parsed = parseKey(Work.Request.Key);
+  if (!Parsed) {
+    finish(Node, Work.Request.Token, outcome::Refused, Parsed.error().Message,
+           comeBack(Node, Work.Request), Actions);
+    return;
+  }
+  Work.Home = Parsed->Home;
+  if (Node.Gateways.contains(Work.Home.Owner))
+    forward(Node, Work, Work.Home.Owner, Actions);
+  else
+    askTheWitness(Work, Actions);
+}
+
+static void startIdempotent(entry_node &Node, entry_work &Work, instant Now,
+                            actions &Actions) {
+  for (const offer &Offer : candidateOffers(Node, Work.Request.Customer,
+                                            Work.Request.Service, Now))
+    Work.Candidates.push_back(Offer.Gateway);
+  if (Work.Candidates.empty()) {
+    finish(Node, Work.Request.Token, outcome::Refused,
+           "no site serves this now", comeBack(Node, Work.Request), Actions);
+    return;
+  }
+  const std::string First = Work.Candidates.front();
+  Work.Candidates.erase(Work.Candidates.begin());
+  forward(Node, Work, First, Actions);
+}
+
+static void start(entry_node &Node, const caller_request &Request, instant Now,
+                  actions &Actions) {
+  const std::string Refusal = refusalOf(Node, Request, Now);
+  if (!Refusal.empty()) {
+    // Only the home may say that a key was not run: this says no more than
+    // that this copy went no further.
+    Actions.push_back(finish_caller{Request.Token, outcome::Refused, Refusal,
+                                    comeBack(Node, Request)});
+    return;
+  }
+  earnRetry(Node.Retries.try_emplace(Request.Customer, Node.Settings.Retries)
+                .first->second);
+  entry_work &Work = Node.Work[Request.Token];
+  Work.Request = Request;
+  if (Request.Class == work_class::NonIdempotent)
+    startKeyed(Node, Work, Actions);
+  else
+    startIdempotent(Node, Work, Now, Actions);
+}
+
+/// Tries the next gateway for idempotent work, within the retry budget.
+static bool tryNext(entry_node &Node, entry_work &Work, instant Now,
+                    actions &Actions) {
+  if (Work.Request.Class != work_class::Idempotent ||
+      Work.Candidates.empty() || Now >= Work.Request.Deadline ||
+      Work.Forwards >= Node.Settings.MaxForwards ||
+      !spendRetry(Node.Retries[Work.Request.Customer]))
+    return false;
+  const std::string Next = Work.Candidates.front();
+  Work.Candidates.erase(Work.Candidates.begin());
+  forward(Node, Work, Next, Actions);
+  return true;
+}
+
+static void answered(entry_node &Node, const gateway_answered &Event,
+                     instant Now, actions &Actions) {
+  auto Found = Node.Work.find(Event.Token);
+  if (Found == Node.Work.end() || Found->second.AskedWitness)
+    return;
+  if (Event.Outcome == outcome::Refused &&
+      tryNext(Node, Found->second, Now, Actions))
+    return;
+  finish(Node, Event.Token, Event.Outcome, Event.Reason, Event.RetryAfter,
+         Actions);
+}
+
+static void suspect(entry_node &Node, const std::string &Gateway) {
+  for (auto &[Service, Offers] : Node.Offers) {
+    auto Found = Offers.find(Gateway);
+    if (Found != Offers.end())
+      Found->second.Suspect = true;
+  }
+}
+
+static void failed(entry_node &Node, const gateway_failed &Event, instant Now,
+                   actions &Actions) {
+  auto Found = Node.Work.find(Event.Token);
+  if (Found == Node.Work.end() || Found->second.AskedWitness)
+    return;
+  entry_work &Work = Found->second;
+  if (Work.Request.Class == work_class::NonIdempotent) {
+    suspect(Node, Work.Home.Owner);
+    Work.MaybeDelivered = Work.MaybeDelivered || Event.MaybeDelivered;
+    askTheWitness(Work, Actions);
+    return;
+  }
+  if (!Event.Streamed && tryNext(Node, Work, Now, Actions))
+    return;
+  finish(Node, Event.Token, outcome::Refused, "the gateway went away",
+         comeBack(Node, Work.Request), Actions);
+}
+
+/// Owner and witness are both out of reach. If this copy never left the entry,
+/// it is enough to say that it went no further.
+static void witnessLost(entry_node &Node, std::uint64_t Token,
+                        actions &Actions) {
+  auto Found = Node.Work.find(Token);
+  if (Found == Node.Work.end())
+    return;
+  const entry_work &Work = Found->second;
+  finish(Node, Token,
+         Work.MaybeDelivered ? outcome::Unknown : outcome::Refused,
+         "the key's home can't be reached", comeBack(Node, Work.Request),
+         Actions);
+}
+
+static void hearOffer(entry_node &Node, const offer_heard &Event) {
+  offer Offer = Event.Offer;
+  if (!Node.Gateways.contains(Offer.Gateway))
+    return;
+  auto Latency = Node.Settings.LinkLatency.find(Offer.Region);
+  if (Latency != Node.Settings.LinkLatency.end())
+    Offer.LinkLatency = Latency->second;
+  Node.Offers[Event.Service][Offer.Gateway] = Offer;
+}
+
+static void setGateways(entry_node &Node,
+                        const std::vector<std::string> &Gateways) {
+  Node.Gateways = {Gateways.begin(), Gateways.end()};
+  for (auto &[Service, Offers] : Node.Offers)
+    std::erase_if(Offers, [&](const auto &Entry) {
+      return !Node.Gateways.contains(Entry.first);
+    });
+}
+
+static void leave(entry_node &Node, std::uint64_t Token) {
+  auto Found = Node.Work.find(Token);
+  if (Found == Node.Work.end())
+    return;
+  releaseLimit(Node.Limits[Found->second.Request.Customer]);
+  Node.Work.erase(Found);
+}
+
+/// A request whose time is over gets its answer now, not when the gateway's
+/// silence ends.
+static void expire(entry_node &Node, instant Now, actions &Actions) {
+  std::vector<std::uint64_t> Expired;
+  for (const auto &[Token, Work] : Node.Work)
+    if (Now >= Work.Request.Deadline)
+      Expired.push_back(Token);
+  std::sort(Expired.begin(), Expired.end());
+  for (const std::uint64_t Token : Expired) {
+    const bool Keyed =
+        Node.Work.at(Token).Request.Class == work_class::NonIdempotent;
+    finish(Node, Token, Keyed ? outcome::Unknown : outcome::Refused,
+           "the deadline has passed", Node.Settings.RetryAfter, Actions);
+  }
+}
+
+namespace {
+
+/// One overload per kind of event.
+struct event_handler {
+  entry_node &Node;
+  instant Now;
+  actions &Actions;
+
+  void operator()(const caller_request &Event) const {
+    start(Node, Event, Now, Actions);
+  }
+  void operator()(const gateway_answered &Event) const {
+    answered(Node, Event, Now, Actions);
+  }
+  void operator()(const gateway_failed &Event) const {
+    failed(Node, Event, Now, Actions);
+  }
+  void operator()(const witness_answered &Event) const {
+    finish(Node, Event.Token, Event.Outcome, "the owner is gone",
+           Event.RetryAfter, Actions);
+  }
+  void operator()(const witness_failed &Event) const {
+    witnessLost(Node, Event.Token, Actions);
+  }
+  void operator()(const caller_left &Event) const { leave(Node, Event.Token); }
+  void operator()(const offer_heard &Event) const { hearOffer(Node, Event); }
+  void operator()(const gateways_changed &Event) const {
+    setGateways(Node, Event.Gateways);
+  }
+  void operator()(const contract_changed &Event) const {
+    Node.Contracts[Event.Contract.Customer] = Event.Contract;
+  }
+  void operator()(const contract_deleted &Event) const {
+    Node.Contracts.erase(Event.Customer);
+  }
+  void operator()(const entries_changed &Event) const {
+    Node.Entries = Event.Entries;
+  }
+  void operator()(const draining_sites_changed &Event) const {
+    Node.DrainingSites = Event.Sites;
+  }
+  void operator()(const entry_tick &) const { expire(Node, Now, Actions); }
+};
+
+} // namespace
+
+std::vector<entry_action> stepEntry(entry_node &Node, const entry_event &Event,
+                                    instant Now) {
+  actions Actions;
+  std::visit(event_handler{Node, Now, Actions}, Event);
+  return Actions;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Gateway/completion.cpp
@@ -0,0 +1,185 @@
+#include "Gateway/node.h"
+
+namespace amaranthhoist::gateway {
+
+/// Tries at targets per request, the first included.
+static constexpr std::int32_t MaxAttempts = 3;
+
+static void finishWaiters(const gateway_node &Node,
+                          const std::vector<std::uint64_t> &Waiters,
+                          const work_request &Request, outcome Outcome,
+                          const std::string &Reason,
+                          const stored_answer &Answer, actions &Actions) {
+  for (const std::uint64_t Waiter : Waiters) {
+    finish_request Action;
+    Action.Token = Waiter;
+    Action.Outcome = Outcome;
+    Action.Reason = Reason;
+    Action.Answer = Answer;
+    if (Outcome != outcome::Answered)
+      Action.RetryAfter =
+          spreadRetryAfter(Node.Settings.RetryAfter, Request.RequestId);
+    Actions.push_back(std::move(Action));
+  }
+}
+
+static void finishKey(gateway_node &Node, const work_request &Request,
+                      key_state State, outcome Outcome,
+                      const std::string &Reason, const stored_answer &Answer,
+                      actions &Actions) {
+  stored_answer Kept = Answer;
+  key_state KeptState = State;
+  if (Kept.Body.size() > Node.Settings.Keys.MaxAnswerBytes) {
+    // Too large to keep: those who wait get it now, later retries learn only
+    // that it may have run.
+    Kept = {};
+    KeptState = key_state::Unknown;
+  }
+  const std::vector<std::uint64_t> Waiters =
+      closeKey(Node.Owned, Request.Key, KeptState, std::move(Kept));
+  finishWaiters(Node, Waiters, Request, Outcome, Reason, Answer, Actions);
+}
+
+void giveUp(gateway_node &Node, std::uint64_t Token, const std::string &Reason,
+            actions &Actions) {
+  auto Found = Node.Work.find(Token);
+  if (Found == Node.Work.end())
+    return;
+  const work_request Request = std::move(Found->second.Request);
+  Node.Work.erase(Found);
+  if (Request.Class == work_class::NonIdempotent)
+    finishKey(Node, Request, key_state::NotRun, outcome::NotRun, Reason, {},
+              Actions);
+  else
+    finishWaiters(Node, {Request.Token}, Request, outcome::Refused, Reason, {},
+                  Actions);
+}
+
+/// The units come back at once only when the work has provably ended. A cut
+/// connection proves nothing: the backend server may go on drawing power.
+static void settleUnits(gateway_node &Node, work_item &Item, bool Ended,
+                        instant Now) {
+  if (!Ended && Now < Item.ToldDeadline + Node.Settings.EndMargin) {
+    Node.Lingering.push_back({Item.Target, std::move(Item.Units),
+                              Item.ToldDeadline + Node.Settings.EndMargin});
+  } else {
+    releaseUnits(Node.Budget, Item.Units);
+    auto Target = Node.Targets.find(Item.Target);
+    if (Target != Node.Targets.end())
+      --Target->second.InFlight;
+  }
+  Item.Target.clear();
+  Item.Units.clear();
+}
+
+void targetLeaves(gateway_node &Node, const std::string &Target, bool Tell,
+                  actions &Actions) {
+  auto Found = Node.Targets.find(Target);
+  if (Found == Node.Targets.end() || Found->second.Leaving)
+    return;
+  Found->second.Leaving = true;
+  if (!Tell)
+    return;
+  for (const std::string &Peer : Node.Peers)
+    Actions.push_back(send_to_peer{Peer, leaving_notice{Target}});
+}
+
+static void noteTarget(gateway_node &Node, const std::string &Name,
+                       const target_ended &Event, instant Now,
+                       actions &Actions) {
+  auto Found = Node.Targets.find(Name);
+  if (Found == Node.Targets.end())
+    return;
+  if (Event.Leaving)
+    targetLeaves(Node, Name, true, Actions);
+  const bool Healthy = Event.End == target_end::Completed;
+  if (Event.End != target_end::Stopped)
+    noteTargetResult(Found->second, Node.Settings.Targets, Healthy, Event.Took,
+                     Now);
+}
+
+/// Whether the same request may go to another target.
+static bool mayRetry(gateway_node &Node, const work_item &Item,
+                     const target_ended &Event, moment Moment) {
+  const bool Unrun =
+      Event.End == target_end::NotReached || Event.End == target_end::Shed;
+  const bool Harmless = Item.Request.Class == work_class::Idempotent &&
+                        !Event.Streamed && Event.End == target_end::Broken;
+  if (!Unrun && !Harmless)
+    return false;
+  if (Item.Cancelled || Item.Attempts >= MaxAttempts)
+    return false;
+  return Moment.Now < Item.Request.Deadline && spendRetry(Node.Retries);
+}
+
+static void retry(gateway_node &Node, work_item &Item) {
+  const work_request &Request = Item.Request;
+  if (Request.Class == work_class::NonIdempotent)
+    markUnsent(Node.Owned, Request.Key);
+  requeueFront(Node.Queues[Request.Service],
+               {Request.Token, Request.Customer, Request.Priority,
+                Request.Weight, Request.Deadline});
+}
+
+static void finishIdempotent(gateway_node &Node, const work_request &Request,
+                             target_end End, actions &Actions) {
+  const bool Whole = End == target_end::Completed;
+  finishWaiters(Node, {Request.Token}, Request,
+                Whole ? outcome::Answered : outcome::Refused,
+                Whole ? "" : "the backend server failed", {}, Actions);
+}
+
+static void finishKeyed(gateway_node &Node, const work_request &Request,
+                        const target_ended &Event, actions &Actions) {
+  switch (Event.End) {
+  case target_end::Completed:
+    finishKey(Node, Request, key_state::Answered, outcome::Answered, "",
+              Event.Answer, Actions);
+    return;
+  case target_end::NotReached:
+  case target_end::Shed:
+    finishKey(Node, Request, key_state::NotRun, outcome::NotRun,
+              "no backend server took it", {}, Actions);
+    return;
+  case target_end::Broken:
+  case target_end::Stopped:
+    finishKey(Node, Request, key_state::Unknown, outcome::Unknown,
+              "the backend server's answer was lost", {}, Actions);
+    return;
+  }
+}
+
+void targetEnded(gateway_node &Node, const target_ended &Event, moment Moment,
+                 actions &Actions) {
+  auto Found = Node.Work.find(Event.Token);
+  if (Found == Node.Work.end() || Found->second.Target.empty())
+    return;
+  work_item &Item = Found->second;
+  noteTarget(Node, Item.Target, Event, Moment.Now, Actions);
+  settleUnits(Node, Item, Event.End != target_end::Broken, Moment.Now);
+  if (mayRetry(Node, Item, Event, Moment)) {
+    retry(Node, Item);
+  } else {
+    const work_item Done = std::move(Item);
+    Node.Work.erase(Found);
+    if (Done.Request.Class == work_class::NonIdempotent)
+      finishKeyed(Node, Done.Request, Event, Actions);
+    else if (!Done.Cancelled)
+      finishIdempotent(Node, Done.Request, Event.End, Actions);
+  }
+  pumpAll(Node, Moment, Actions);
+}
+
+void releaseLingering(gateway_node &Node, instant Now) {
+  std::erase_if(Node.Lingering, [&](const lingering_work &Work) {
+    if (Now < Work.Until)
+      return false;
+    releaseUnits(Node.Budget, Work.Units);
+    auto Target = Node.Targets.find(Work.Target);
+    if (Target != Node.Targets.end())
+      --Target->second.InFlight;
+    return true;
+  });
+}
+
+} // namespace amaranthhoist::gateway
--- /dev/null
+++ b/Libraries/Gateway/gateway.cpp
@@ -0,0 +1,181 @@
+#include "Gateway/gateway.h"
+#include "Gateway/node.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+using gateway::actions;
+
+std::string slotResource(const std::string &Target) { return "slot/" + Target; }
+
+std::string linkResource(const std::string &Region) { return "link/" + Region; }
+
+gateway_node makeGateway(const gateway_settings &Settings) {
+  gateway_node Node;
+  Node.Settings = Settings;
+  Node.Budget.Self = Settings.Id;
+  Node.Retries = Settings.Retries;
+  return Node;
+}
+
+static amounts limitsOf(const gateway_node &Node) {
+  const site_settings &Site = Node.Site;
+  amounts Limits;
+  Limits[PowerResource] =
+      std::max<std::int64_t>(0, Site.CapMilliwatts - Site.IdleMilliwatts -
+                                    Site.GuardMilliwatts);
+  for (const auto &[Region, Limit] : Site.LinkLimits)
+    Limits[linkResource(Region)] = Limit;
+  for (const auto &[Name, Target] : Node.Targets)
+    Limits[slotResource(Name)] = Target.Slots;
+  return Limits;
+}
+
+static void applyTarget(gateway_node &Node, const target_settings &Settings,
+                        instant Now) {
+  auto [Found, Fresh] = Node.Targets.try_emplace(Settings.Name);
+  target_state &Target = Found->second;
+  if (Fresh)
+    Target.Since = Now;
+  Target.Name = Settings.Name;
+  Target.Site = Settings.Site;
+  Target.Service = Settings.Service;
+  Target.Address = Settings.Address;
+  Target.Slots = Settings.Slots;
+  // The list lags and may lie: it can say that a target leaves, but not that
+  // one comes back which itself said that it leaves.
+  Target.Leaving = Target.Leaving || Settings.Leaving;
+}
+
+/// A target that is off the list takes no new work; it stays known until its
+/// work has ended, or its slots would be free before that.
+static void dropAbsent(gateway_node &Node,
+                       const std::vector<target_settings> &Listed) {
+  for (auto &[Name, Target] : Node.Targets) {
+    const bool Present =
+        std::any_of(Listed.begin(), Listed.end(),
+                    [&](const auto &Item) { return Item.Name == Name; });
+    Target.Leaving = Target.Leaving || !Present;
+  }
+  std::erase_if(Node.Targets, [&](const auto &Entry) {
+    const bool Present =
+        std::any_of(Listed.begin(), Listed.end(), [&](const auto &Item) {
+          return Item.Name == Entry.first;
+        });
+    return !Present && Entry.second.InFlight == 0;
+  });
+}
+
+static void applySite(gateway_node &Node, const site_changed &Event,
+                      moment Moment, actions &Actions) {
+  Node.Site = Event.Site;
+  for (const target_settings &Target : Event.Targets)
+    applyTarget(Node, Target, Moment.Now);
+  dropAbsent(Node, Event.Targets);
+  Node.Budget.Limits = limitsOf(Node);
+  gateway::pumpAll(Node, Moment, Actions);
+}
+
+namespace {
+
+/// One overload per kind of event.
+struct event_handler {
+  gateway_node &Node;
+  moment Moment;
+  actions &Actions;
+
+  void operator()(const request_arrived &Event) const {
+    gateway::arrive(Node, Event, Moment, Actions);
+  }
+  void operator()(const request_cancelled &Event) const {
+    gateway::cancel(Node, Event.Token, Actions);
+  }
+  void operator()(const seal_asked &Event) const {
+    gateway::seal(Node, Event, Moment, Actions);
+  }
+  void operator()(const target_ended &Event) const {
+    gateway::targetEnded(Node, Event, Moment, Actions);
+  }
+  void operator()(const peer_message_arrived &Event) const {
+    gateway::peerMessage(Node, Event, Moment, Actions);
+  }
+  void operator()(const record_seen &Event) const {
+    observeRecord(Node.Budget, Event.Record);
+    gateway::pumpAll(Node, Moment, Actions);
+  }
+  void operator()(const record_update_answered &Event) const {
+    updateAnswered(Node.Budget, Event.Proposed, Event.Result,
+                   Event.NewVersion);
+    gateway::pumpAll(Node, Moment, Actions);
+  }
+  void operator()(const site_changed &Event) const {
+    applySite(Node, Event, Moment, Actions);
+  }
+  void operator()(const target_leaving &Event) const {
+    gateway::targetLeaves(Node, Event.Target, true, Actions);
+  }
+  void operator()(const peers_changed &Event) const {
+    gateway::peersChanged(Node, Event, Actions);
+  }
+  void operator()(const holder_dead &Event) const {
+    observeDeath(Node.Budget, Event.Id, Moment.Now);
+  }
+  void operator()(const drain_changed &Event) const {
+    Node.Draining = Event.Draining || Event.Leaving;
+    Node.Leaving = Event.Leaving;
+  }
+  void operator()(const clock_tick &) const {
+    gateway::tick(Node, Moment, Actions);
+  }
+};
+
+} // namespace
+
+std::vector<gateway_action> stepGateway(gateway_node &Node,
+                                        const gateway_event &Event,
+                                        moment Moment) {
+  actions Actions;
+  std::visit(event_handler{Node, Moment, Actions}, Event);
+  return Actions;
+}
+
+offer makeOffer(const gateway_node &Node, const std::string &Service,
+                instant Now) {
+  offer Offer;
+  Offer.Site = Node.Site.Name;
+  Offer.Region = Node.Site.Region;
+  Offer.Gateway = Node.Settings.Id;
+  Offer.FailureDomain = Node.Settings.FailureDomain;
+  Offer.PredictedWait = gateway::predictedWait(Node, Service);
+  Offer.Heard = Now;
+  Offer.Suspect = Node.Draining;
+  std::int64_t Free = 0;
+  for (const auto &[Name, Target] : Node.Targets)
+    if (Target.Service == Service &&
+        takesWork(Target, Node.Settings.Targets, Now))
+      Free += availableUnits(Node.Budget, slotResource(Name), Now);
+  auto Cost = Node.Site.SlotMilliwatts.find(Service);
+  if (Cost != Node.Site.SlotMilliwatts.end() && Cost->second > 0)
+    Free = std::min(Free, availableUnits(Node.Budget, PowerResource, Now) /
+                              Cost->second);
+  auto Queue = Node.Queues.find(Service);
+  if (Queue != Node.Queues.end())
+    Free -= static_cast<std::int64_t>(Queue->second.Total);
+  Offer.FreeUnits = Node.Draining ? 0 : std::max<std::int64_t>(Free, 0);
+  return Offer;
+}
+
+bool hasLeft(const gateway_node &Node) {
+  return Node.Leaving && Node.Work.empty() && Node.Lingering.empty() &&
+         !Node.Budget.Record.Shares.contains(Node.Settings.Id);
+}
+
+std::int64_t workInProgress(const gateway_node &Node) {
+  auto Count = static_cast<std::int64_t>(Node.Lingering.size());
+  for (const auto &[Token, Item] : Node.Work)
+    Count += Item.Target.empty() ? 0 : 1;
+  return Count;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Membership/membership.cpp
@@ -0,0 +1,207 @@
+#include "Membership/membership.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+using messages = std::vector<outgoing_membership_message>;
+using kind = membership_message::kind;
+
+void setMembers(membership &Membership, const std::vector<std::string> &Names) {
+  std::erase_if(Membership.Members, [&](const auto &Entry) {
+    return std::find(Names.begin(), Names.end(), Entry.first) == Names.end();
+  });
+  for (const std::string &Name : Names)
+    if (!Membership.Own.contains(Name))
+      Membership.Members.try_emplace(Name);
+}
+
+void setOwnMembers(membership &Membership,
+                   const std::vector<std::string> &Names) {
+  std::erase_if(Membership.Own, [&](const auto &Entry) {
+    return std::find(Names.begin(), Names.end(), Entry.first) == Names.end();
+  });
+  for (const std::string &Name : Names) {
+    // What was believed of it as a member is where its own counter goes on.
+    auto Believed = Membership.Members.find(Name);
+    own_member Own;
+    if (Believed != Membership.Members.end())
+      Own.Counter = Believed->second.Counter + 1;
+    Own.RepeatsLeft = Membership.Policy.BeliefRepeats;
+    Membership.Own.try_emplace(Name, Own);
+    Membership.Members.erase(Name);
+  }
+}
+
+bool isUp(const membership &Membership, const std::string &Name) {
+  if (Membership.Own.contains(Name))
+    return true;
+  auto Found = Membership.Members.find(Name);
+  return Found != Membership.Members.end() &&
+         Found->second.Status == member_status::Up;
+}
+
+static void change(membership &Membership, member_state &Member,
+                   member_status Status, instant Now) {
+  if (Status == member_status::Suspect)
+    Member.SuspectSince = Now;
+  Member.Status = Status;
+  Member.RepeatsLeft = Membership.Policy.BeliefRepeats;
+}
+
+static std::vector<member_belief> beliefsToSend(membership &Membership) {
+  std::vector<member_belief> Beliefs;
+  for (auto &[Name, Own] : Membership.Own) {
+    if (Own.RepeatsLeft <= 0)
+      continue;
+    --Own.RepeatsLeft;
+    Beliefs.push_back({Name, member_status::Up, Own.Counter});
+  }
+  for (auto &[Name, Member] : Membership.Members) {
+    if (Beliefs.size() >= Membership.Policy.MaxBeliefsPerMessage)
+      break;
+    if (Member.RepeatsLeft <= 0)
+      continue;
+    --Member.RepeatsLeft;
+    Beliefs.push_back({Name, Member.Status, Member.Counter});
+  }
+  return Beliefs;
+}
+
+static outgoing_membership_message make(membership &Membership,
+                                        const std::string &To, kind Kind,
+                                        const std::string &Subject,
+                                        const std::string &OnBehalfOf) {
+  return {To, {Kind, Subject, OnBehalfOf, beliefsToSend(Membership)}};
+}
+
+static void hearBelief(membership &Membership, const member_belief &Belief,
+                       instant Now) {
+  auto Own = Membership.Own.find(Belief.Name);
+  if (Own != Membership.Own.end()) {
+    // Somebody suspects it: a higher counter says otherwise.
+    if (Belief.Status != member_status::Up &&
+        Belief.Counter >= Own->second.Counter)
+      Own->second = {Belief.Counter + 1, Membership.Policy.BeliefRepeats};
+    return;
+  }
+  auto Found = Membership.Members.find(Belief.Name);
+  if (Found == Membership.Members.end())
+    return;
+  member_state &Member = Found->second;
+  const bool Newer = Belief.Counter > Member.Counter ||
+                     (Belief.Counter == Member.Counter &&
+                      Belief.Status > Member.Status);
+  if (!Newer)
+    return;
+  Member.Counter = Belief.Counter;
+  change(Membership, Member, Belief.Status, Now);
+}
+
+/// An answer of its own is better than any rumour: whoever answers is up.
+static void heardFrom(membership &Membership, const std::string &Name,
+                      instant Now) {
+  auto Found = Membership.Members.find(Name);
+  if (Found == Membership.Members.end() ||
+      Found->second.Status == member_status::Up)
+    return;
+  // One higher than the rumour, so that it wins everywhere.
+  ++Found->second.Counter;
+  change(Membership, Found->second, member_status::Up, Now);
+}
+
+messages handleMembershipMessage(membership &Membership,
+                                 const std::string &From,
+                                 const membership_message &Message,
+                                 instant Now) {
+  for (const member_belief &Belief : Message.Beliefs)
+    hearBelief(Membership, Belief, Now);
+  switch (Message.Kind) {
+  case kind::Ping:
+    heardFrom(Membership, From, Now);
+    // A daemon that shows no life isn't answered for.
+    if (!Membership.Own.contains(Message.Subject))
+      return {};
+    return {make(Membership, From, kind::Ack, Message.Subject,
+                 Message.OnBehalfOf)};
+  case kind::PingFor:
+    return {make(Membership, Message.Subject, kind::Ping, Message.Subject,
+                 From)};
+  case kind::Ack:
+    heardFrom(Membership, Message.Subject, Now);
+    if (Membership.Probe.Subject == Message.Subject)
+      Membership.Probe = {};
+    if (Message.OnBehalfOf.empty() ||
+        Membership.Own.contains(Message.OnBehalfOf))
+      return {};
+    return {make(Membership, Message.OnBehalfOf, kind::Ack, Message.Subject,
+                 Message.OnBehalfOf)};
+  }
+  return {};
+}
+
+static std::string nextSubject(membership &Membership) {
+  if (Membership.Round.empty()) {
+    for (const auto &[Name, Member] : Membership.Members)
+      Membership.Round.push_back(Name);
+    std::shuffle(Membership.Round.begin(), Membership.Round.end(),
+                 Membership.Random);
+  }
+  if (Membership.Round.empty())
+    return {};
+  std::string Subject = Membership.Round.back();
+  Membership.Round.pop_back();
+  return Membership.Members.contains(Subject) ? Subject : std::string();
+}
+
+static void probeThroughOthers(membership &Membership, messages &Messages) {
+  std::vector<std::string> Helpers;
+  for (const auto &[Name, Member] : Membership.Members)
+    if (Member.Status == member_status::Up &&
+        Name != Membership.Probe.Subject)
+      Helpers.push_back(Name);
+  std::shuffle(Helpers.begin(), Helpers.end(), Membership.Random);
+  Helpers.resize(
+      std::min(Helpers.size(), Membership.Policy.IndirectProbes));
+  for (const std::string &Helper : Helpers)
+    Messages.push_back(make(Membership, Helper, kind::PingFor,
+                            Membership.Probe.Subject, {}));
+}
+
+static void escalate(membership &Membership, instant Now, messages &Messages) {
+  running_probe &Probe = Membership.Probe;
+  if (Probe.Subject.empty() ||
+      Now < Probe.Sent + Membership.Policy.AckTimeout)
+    return;
+  if (!Probe.Indirect) {
+    Probe.Indirect = true;
+    Probe.Sent = Now;
+    probeThroughOthers(Membership, Messages);
+    return;
+  }
+  auto Found = Membership.Members.find(Probe.Subject);
+  if (Found != Membership.Members.end() &&
+      Found->second.Status == member_status::Up)
+    change(Membership, Found->second, member_status::Suspect, Now);
+  Probe = {};
+}
+
+messages membershipTick(membership &Membership, instant Now) {
+  messages Messages;
+  for (auto &[Name, Member] : Membership.Members)
+    if (Member.Status == member_status::Suspect &&
+        Now >= Member.SuspectSince + Membership.Policy.SuspectTime)
+      change(Membership, Member, member_status::Down, Now);
+  escalate(Membership, Now, Messages);
+  if (Now < Membership.NextProbe || !Membership.Probe.Subject.empty())
+    return Messages;
+  Membership.NextProbe = Now + Membership.Policy.ProbePeriod;
+  const std::string Subject = nextSubject(Membership);
+  if (Subject.empty())
+    return Messages;
+  Membership.Probe = {Subject, Now, false};
+  Messages.push_back(make(Membership, Subject, kind::Ping, Subject, {}));
+  return Messages;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Membership/membership.h
@@ -0,0 +1,114 @@
+/// Which daemons are thought to be up. Each control probes one member per
+/// period, in a shuffled round; a silent one is probed through others, then
+/// suspected; suspicions spread on the probes. A node's cost doesn't grow with
+/// the fleet. A member is a daemon; its instance's control answers for it, as
+/// long as the daemon shows signs of life.
+///
+/// Suspicion only reduces use: nothing here returns units or ends a key.
+/// Sans-I/O.
+#pragma once
+
+#include "Core/core.h"
+
+#include <cstddef>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace amaranthhoist {
+
+enum class member_status : std::uint8_t { Up, Suspect, Down };
+
+/// What is believed of one member. Counter is raised by whoever answers for the
+/// member, or hears its answer, to refute a suspicion; a higher counter wins,
+/// then the worse status.
+struct member_belief {
+  std::string Name;
+  member_status Status = member_status::Up;
+  std::uint64_t Counter = 0;
+};
+
+/// A probe, its answer, or a request to probe somebody else.
+struct membership_message {
+  enum class kind : std::uint8_t { Ping, Ack, PingFor };
+  kind Kind = kind::Ping;
+  /// The member that is probed, or that an Ack is for.
+  std::string Subject;
+  /// Ping: who wants to know in the end; empty when it is the sender.
+  std::string OnBehalfOf;
+  std::vector<member_belief> Beliefs;
+};
+
+/// To is a member, or for answers whoever sent the message.
+struct outgoing_membership_message {
+  std::string To;
+  membership_message Message;
+};
+
+/// Knobs of the probing.
+struct membership_policy {
+  duration ProbePeriod = std::chrono::milliseconds(500);
+  duration AckTimeout = std::chrono::milliseconds(300);
+  duration SuspectTime = std::chrono::seconds(3);
+  std::size_t IndirectProbes = 2;
+  std::size_t MaxBeliefsPerMessage = 8;
+  /// Messages that carry a changed belief before it rests.
+  int BeliefRepeats = 12;
+};
+
+struct member_state {
+  member_status Status = member_status::Up;
+  std::uint64_t Counter = 0;
+  instant SuspectSince{};
+  /// Messages that will still carry this belief.
+  int RepeatsLeft = 0;
+};
+
+/// A member answered for here.
+struct own_member {
+  std::uint64_t Counter = 0;
+  int RepeatsLeft = 0;
+};
+
+/// The probe under way.
+struct running_probe {
+  std::string Subject;
+  instant Sent{};
+  bool Indirect = false;
+};
+
+struct membership {
+  /// The members answered for here: this control and its instance's daemons
+  /// that show signs of life.
+  std::map<std::string, own_member> Own;
+  membership_policy Policy;
+  std::mt19937_64 Random;
+  std::map<std::string, member_state> Members;
+  /// Members still to be probed in this round.
+  std::vector<std::string> Round;
+  running_probe Probe;
+  instant NextProbe{};
+};
+
+/// Sets who belongs to the fleet, own members included or not. New members
+/// count as up.
+void setMembers(membership &Membership, const std::vector<std::string> &Names);
+
+/// Sets the members that this control answers for.
+void setOwnMembers(membership &Membership,
+                   const std::vector<std::string> &Names);
+
+/// Probes, escalates and times out.
+std::vector<outgoing_membership_message> membershipTick(membership &Membership,
+                                                        instant Now);
+
+/// Takes in a message.
+std::vector<outgoing_membership_message>
+handleMembershipMessage(membership &Membership, const std::string &From,
+                        const membership_message &Message, instant Now);
+
+/// Whether \p Name may be used: known and not suspected.
+bool isUp(const membership &Membership, const std::string &Name);
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Routing/routing.cpp
@@ -0,0 +1,115 @@
+#include "Routing/routing.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+static bool isStale(const offer &Offer, const routing_policy &Policy,
+                    instant Now) {
+  return Offer.Heard == instant{} || Now - Offer.Heard > Policy.StaleAfter;
+}
+
+duration offerCost(const offer &Offer, std::string_view Customer,
+                   std::string_view PreferredSite, const routing_policy &Policy,
+                   instant Now) {
+  duration Cost = 2 * Offer.LinkLatency + Offer.PredictedWait;
+  if (!Customer.empty() && Offer.Site != PreferredSite)
+    Cost += Policy.ColdPenalty;
+  if (isStale(Offer, Policy, Now))
+    Cost += Policy.StalePenalty;
+  return Cost;
+}
+
+std::string preferredSite(std::span<const std::string> Sites,
+                          std::string_view Customer) {
+  std::string Best;
+  std::uint64_t BestScore = 0;
+  for (const std::string &Site : Sites) {
+    const std::uint64_t Score = stableHash(Customer, stableHash(Site));
+    if (!Best.empty() && Score <= BestScore)
+      continue;
+    Best = Site;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+/// An old offer never counts for more than one unit: whatever it promised may
+/// be long gone, and a crowd following it would land on a full site.
+static double drawWeight(const offer &Offer, const routing_policy &Policy,
+                         instant Now) {
+  if (Offer.Suspect)
+    return 0.01;
+  if (isStale(Offer, Policy, Now))
+    return 0.2;
+  return static_cast<double>(std::max<std::int64_t>(Offer.FreeUnits, 0)) + 0.1;
+}
+
+std::vector<offer> rankOffers(std::span<const offer> Offers,
+                              std::string_view Customer,
+                              std::string_view PreferredSite,
+                              const routing_policy &Policy, instant Now,
+                              std::mt19937_64 &Random) {
+  std::vector<offer> Ranked(Offers.begin(), Offers.end());
+  const auto Cost = [&](const offer &Offer) {
+    const duration Base =
+        offerCost(Offer, Customer, PreferredSite, Policy, Now);
+    return Offer.Suspect ? Base + std::chrono::hours(1) : Base;
+  };
+  std::sort(Ranked.begin(), Ranked.end(),
+            [&](const offer &Left, const offer &Right) {
+              return Cost(Left) < Cost(Right);
+            });
+  if (Ranked.size() < 2)
+    return Ranked;
+  std::vector<double> Weights;
+  for (const offer &Offer : Ranked)
+    Weights.push_back(drawWeight(Offer, Policy, Now));
+  std::discrete_distribution<std::size_t> Draw(Weights.begin(), Weights.end());
+  // Sorted by cost, so the smaller index is the cheaper of the two.
+  const std::size_t Chosen = std::min(Draw(Random), Draw(Random));
+  std::rotate(Ranked.begin(), Ranked.begin() + static_cast<long>(Chosen),
+              Ranked.begin() + static_cast<long>(Chosen) + 1);
+  return Ranked;
+}
+
+/// A cold target takes a quarter of its slots at first, then half, so that a
+/// large move doesn't land on empty caches at once.
+static std::int64_t slotsNow(const target_state &Target,
+                             const target_policy &Policy, instant Now) {
+  const duration Age = Now - Target.Since;
+  if (Age >= Policy.WarmUp)
+    return Target.Slots;
+  const std::int64_t Part = Age >= Policy.WarmUp / 2 ? 2 : 4;
+  return std::max<std::int64_t>(1, Target.Slots / Part);
+}
+
+bool takesWork(const target_state &Target, const target_policy &Policy,
+               instant Now) {
+  if (Target.Leaving || Target.InFlight >= slotsNow(Target, Policy, Now))
+    return false;
+  if (Target.Failures < Policy.MaxFailures)
+    return true;
+  // Half open: one trial at a time after the quarantine.
+  return Now >= Target.QuarantinedUntil && Target.InFlight == 0;
+}
+
+double targetCost(const target_state &Target) {
+  const auto Busy = static_cast<double>(Target.InFlight + 1) /
+                    static_cast<double>(Target.Slots);
+  return Busy * static_cast<double>(Target.Typical.count());
+}
+
+void noteTargetResult(target_state &Target, const target_policy &Policy,
+                      bool Healthy, duration Took, instant Now) {
+  if (Healthy) {
+    Target.Failures = 0;
+    Target.Typical = (Target.Typical * 7 + Took) / 8;
+    return;
+  }
+  ++Target.Failures;
+  if (Target.Failures >= Policy.MaxFailures)
+    Target.QuarantinedUntil = Now + Policy.Quarantine;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Rpc/rpc.cpp
@@ -0,0 +1,153 @@
+#include "Rpc/rpc.h"
+
+#include "Settings/settings.h"
+
+#include <capnp/message.h>
+#include <future>
+#include <kj/debug.h>
+
+namespace amaranthhoist {
+
+/// Longest time to connect to a peer.
+static constexpr duration ConnectLimit = std::chrono::milliseconds(1'000);
+
+/// One kept connection. The bootstrap capability is a promise until the
+/// connection is made, so calls can be made at once.
+struct rpc_loop::connection {
+  kj::Own<kj::AsyncIoStream> Stream;
+  kj::Own<capnp::TwoPartyClient> Client;
+  std::optional<capnp::Capability::Client> Main;
+};
+
+rpc_loop::rpc_loop() {
+  std::promise<void> Ready;
+  Thread = std::thread([this, &Ready] {
+    kj::AsyncIoContext Context = kj::setupAsyncIo();
+    Io = Context.provider.get();
+    Timer = &Context.provider->getTimer();
+    Executor = &kj::getCurrentThreadExecutor();
+    Tasks = std::make_unique<kj::TaskSet>(*this);
+    auto Paf = kj::newPromiseAndFulfiller<void>();
+    Stop = kj::mv(Paf.fulfiller);
+    Ready.set_value();
+    Paf.promise.wait(Context.waitScope);
+    Tasks.reset();
+    Connections.clear();
+  });
+  Ready.get_future().wait();
+}
+
+rpc_loop::~rpc_loop() {
+  run([this] {
+    Stopped = true;
+    Stop->fulfill();
+  });
+  Thread.join();
+}
+
+bool rpc_loop::isLoopThread() const {
+  return std::this_thread::get_id() == Thread.get_id();
+}
+
+void rpc_loop::run(const std::function<void()> &Function) {
+  try {
+    Executor->executeSync([&] { Function(); });
+  } catch (const kj::Exception &Exception) {
+    // The loop has ended: the process is on its way out.
+    KJ_LOG(INFO, "rpc loop call failed", Exception);
+  }
+}
+
+void rpc_loop::keep(kj::Promise<void> &&Promise) {
+  Tasks->add(kj::mv(Promise));
+}
+
+kj::Promise<void> rpc_loop::after(duration Time) {
+  return Timer->afterDelay(Time.count() * kj::MICROSECONDS);
+}
+
+void rpc_loop::taskFailed(kj::Exception &&) {
+  // Kept promises handle their own failures; what is left is a peer that went
+  // away, which the caller sees as its failed call.
+}
+
+void rpc_loop::dropPeer(const std::string &Address) {
+  auto Found = Connections.find(Address);
+  if (Found == Connections.end())
+    return;
+  // Calls under way hold their own references; the streams end with the last.
+  auto Old = std::move(Found->second);
+  Connections.erase(Found);
+  Tasks->add(kj::Promise<void>(kj::READY_NOW).attach(kj::mv(Old)));
+}
+
+capnp::Capability::Client rpc_loop::bootstrap(const std::string &Address) {
+  auto Found = Connections.find(Address);
+  if (Found != Connections.end() && Found->second->Main)
+    return *Found->second->Main;
+  auto Fresh = std::make_unique<connection>();
+  connection *Raw = Fresh.get();
+  Connections[Address] = std::move(Fresh);
+  auto Connecting =
+      Io->getNetwork()
+          .parseAddress(Address)
+          .then([](kj::Own<kj::NetworkAddress> Parsed) {
+            auto Promise = Parsed->connect();
+            return Promise.attach(kj::mv(Parsed));
+          });
+  auto Ready =
+      within(ConnectLimit, kj::mv(Connecting))
+          .then([this, Raw, Address](kj::Own<kj::AsyncIoStream> Stream)
+                    -> capnp::Capability::Client {
+            auto Held = Connections.find(Address);
+            if (Held == Connections.end() || Held->second.get() != Raw)
+              KJ_FAIL_REQUIRE("connection dropped");
+            Raw->Stream = kj::mv(Stream);
+            Raw->Client = kj::heap<capnp::TwoPartyClient>(*Raw->Stream);
+            keep(Raw->Client->onDisconnect().then([this, Raw, Address] {
+              auto Current = Connections.find(Address);
+              if (Current != Connections.end() &&
+                  Current->second.get() == Raw)
+                dropPeer(Address);
+            }));
+            return Raw->Client->bootstrap();
+          },
+                [this, Raw, Address](kj::Exception &&Exception)
+                    -> capnp::Capability::Client {
+                  auto Held = Connections.find(Address);
+                  if (Held != Connections.end() && Held->second.get() == Raw)
+                    Connections.erase(Held);
+                  kj::throwFatalException(kj::mv(Exception));
+                });
+  Raw->Main = capnp::Capability::Client(kj::mv(Ready));
+  return *Raw->Main;
+}
+
+result<bool> rpc_loop::listen(const std::string &Address,
+                              capnp::Capability::Client Main) {
+  TRY(parseAddress(Address));
+  result<bool> Outcome = true;
+  // The server lives as long as the loop.
+  struct server_state {
+    kj::Own<capnp::TwoPartyServer> Server;
+    kj::Own<kj::ConnectionReceiver> Receiver;
+  };
+  auto State = std::make_shared<server_state>();
+  State->Server = kj::heap<capnp::TwoPartyServer>(kj::mv(Main));
+  auto Listening =
+      Io->getNetwork().parseAddress(Address).then(
+          [this, State](kj::Own<kj::NetworkAddress> Parsed) {
+            State->Receiver = Parsed->listen();
+            keep(State->Server->listen(*State->Receiver));
+          });
+  keep(Listening.catch_([Address](kj::Exception &&Exception) {
+    KJ_LOG(FATAL, "can't listen", Address, Exception);
+    // Another process holds the address: an earlier start of this daemon may
+    // still be running, and two must not act as one.
+    std::_Exit(3);
+  }));
+  keep(kj::Promise<void>(kj::NEVER_DONE).attach(kj::mv(State)));
+  return Outcome;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Entry/entry_daemon.cpp
@@ -0,0 +1,357 @@
+#include "entry_daemon.h"
+
+#include "Logging/logging.h"
+#include "Rpc/byte_source.h"
+#include "caller_exchange.h"
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace amaranthhoist {
+
+static constexpr duration TickPeriod = std::chrono::milliseconds(20);
+static constexpr duration OfferPeriod = std::chrono::milliseconds(500);
+static constexpr duration OfferLimit = std::chrono::milliseconds(1'000);
+static constexpr duration WitnessLimit = std::chrono::milliseconds(2'000);
+/// Beyond a request's deadline, so that the gateway's own answer comes first.
+static constexpr duration CallGrace = std::chrono::milliseconds(500);
+
+static std::string makeOperationId() {
+  std::random_device Device;
+  return std::to_string(Device()) + "-" + std::to_string(Device());
+}
+
+static link_identity identityOf(const instance_settings &Settings) {
+  link_identity Identity;
+  Identity.Key = objectKey(kinds::Entry, Settings.Instance);
+  Identity.Record = {Settings.Instance,      Settings.Region,
+                     Settings.FailureDomain, Settings.Entry.Listen,
+                     {},                     makeOperationId()};
+  return Identity;
+}
+
+static entry_settings nodeSettings(const instance_settings &Settings) {
+  entry_settings Node;
+  Node.Region = Settings.Region;
+  for (const auto &[Region, Ms] : Settings.LinkMs)
+    Node.LinkLatency[Region] =
+        duration(static_cast<std::int64_t>(Ms * 1'000));
+  Node.Seed = std::random_device()();
+  return Node;
+}
+
+entry_daemon::entry_daemon(const instance_settings &Settings)
+    : Settings(Settings),
+      Control(Loop, Settings.Control.Listen, identityOf(Settings),
+              [this](const object_view &View,
+                     const std::set<std::string> &Down) {
+                applyView(View, Down);
+              }) {
+  for (entry_shard &Shard : Shards)
+    Shard.Node = makeEntry(nodeSettings(Settings));
+}
+
+entry_daemon::~entry_daemon() { Timers.stop(); }
+
+result<bool> entry_daemon::start() {
+  http_server_options Options;
+  Options.MaxConnections =
+      static_cast<unsigned>(Settings.Entry.MaxConnections);
+  Server = TRY(http_server::create(
+      Settings.Entry.Listen,
+      [this](http_head Head) -> std::unique_ptr<http_exchange> {
+        return std::make_unique<caller_exchange>(*this, std::move(Head));
+      },
+      Options));
+  Metrics.gauge("amaranthhoist_requests_in_progress", [this] {
+    return static_cast<double>(InProgress.load());
+  });
+  Control.start();
+  Timers.subscribe(TickPeriod, [this] { stepAll(entry_tick{}); });
+  Timers.subscribe(OfferPeriod, [this] { Loop.run([this] { pollOffers(); }); });
+  return true;
+}
+
+void entry_daemon::leave(duration Limit) {
+  Loop.run([this] { Control.unregister(); });
+  // Callers keep a look-up's answer for its TTL; until then some still come.
+  const instant Named =
+      currentInstant() + std::chrono::milliseconds(Settings.Entry.LookupTtlMs);
+  const instant Until = currentInstant() + Limit;
+  while (currentInstant() < Until &&
+         (currentInstant() < Named || InProgress != 0))
+    std::this_thread::sleep_for(TickPeriod);
+}
+
+entry_shard &entry_daemon::shardOf(const std::string &Customer) {
+  return Shards[stableHash(Customer) % ShardCount];
+}
+
+bool entry_daemon::isReady() { return Ready; }
+
+void entry_daemon::step(entry_shard &Shard, const entry_event &Event) {
+  std::vector<entry_action> Actions;
+  {
+    const std::lock_guard Guard(Shard.Lock);
+    Actions = stepEntry(Shard.Node, Event, currentInstant());
+  }
+  if (Actions.empty())
+    return;
+  if (Loop.isLoopThread())
+    perform(Shard, Actions);
+  else
+    Loop.run([&] { perform(Shard, Actions); });
+}
+
+void entry_daemon::stepAll(const entry_event &Event) {
+  for (entry_shard &Shard : Shards)
+    step(Shard, Event);
+}
+
+void entry_daemon::perform(entry_shard &Shard,
+                           const std::vector<entry_action> &Actions) {
+  for (const entry_action &Action : Actions) {
+    if (const auto *Forward = std::get_if<forward_request>(&Action))
+      forward(Shard, *Forward);
+    else if (const auto *Ask = std::get_if<ask_witness>(&Action))
+      askWitness(Shard, *Ask);
+    else if (const auto *Finish = std::get_if<finish_caller>(&Action))
+      finish(*Finish);
+  }
+}
+
+std::string entry_daemon::addressOf(const std::string &NodeId) const {
+  const auto Name = splitNodeId(NodeId);
+  if (!Name)
+    return {};
+  auto Found = Gateways.find(Name->Instance);
+  if (Found == Gateways.end() || Found->second.second != Name->Incarnation)
+    return {};
+  return Found->second.first;
+}
+
+static void writeWork(const entry_request &Held, const forward_request &Action,
+                      const std::string &Region,
+                      wire::WorkRequest::Builder Work) {
+  Work.setRequestId(Held.Request.RequestId);
+  Work.setNode(Action.Gateway);
+  Work.setCustomer(Held.Request.Customer);
+  Work.setService(Held.Request.Service);
+  Work.setIdempotent(Held.Request.Class == work_class::Idempotent);
+  Work.setKey(Held.Request.Key);
+  Work.setSourceRegion(Region);
+  Work.setPriority(Action.Priority);
+  Work.setWeight(Action.Weight);
+  Work.setRemainingUs((Action.Deadline - currentInstant()).count());
+  Work.setMethod(Held.Method);
+  Work.setPath(Held.Path);
+  Work.setContentType(Held.ContentType);
+  Work.setBody(capnp::Data::Reader(
+      reinterpret_cast<const kj::byte *>(Held.Body.data()), Held.Body.size()));
+}
+
+void entry_daemon::forward(entry_shard &Shard, const forward_request &Action) {
+  auto Found = Requests.find(Action.Token);
+  if (Found == Requests.end())
+    return;
+  entry_request &Held = *Found->second;
+  const std::uint64_t Token = Action.Token;
+  const std::string Address = addressOf(Action.Gateway);
+  // A long body can be sent once only.
+  if (Address.empty() || (Held.Upload && Held.UploadTaken)) {
+    step(Shard, gateway_failed{Token, Held.UploadTaken, false});
+    return;
+  }
+  auto Request = Loop.peer<wire::Gateway>(Address).runRequest();
+  writeWork(Held, Action, Settings.Region, Request.initRequest());
+  if (Held.Upload) {
+    Held.UploadTaken = true;
+    Request.getRequest().setSource(kj::heap<pipe_source>(Held.Upload));
+  }
+  kj::Promise<capnp::Response<wire::Gateway::RunResults>> Call =
+      Request.send();
+  const duration Limit = Action.Deadline - currentInstant() + CallGrace;
+  Held.Call =
+      Loop.within(Limit, kj::mv(Call))
+          .then(
+              [this, &Shard, Token](
+                  capnp::Response<wire::Gateway::RunResults> Response) {
+                handleAnswer(Shard, Token, Response.getAnswer());
+              },
+              [this, &Shard, Token, Address](kj::Exception &&Exception) {
+                // A failed connect is the one failure that proves that nothing
+                // was sent; it can't be told apart here, so none is assumed.
+                if (Exception.getType() == kj::Exception::Type::DISCONNECTED)
+                  Loop.dropPeer(Address);
+                step(Shard, gateway_failed{Token, true, false});
+              })
+          .eagerlyEvaluate(nullptr);
+}
+
+void entry_daemon::handleAnswer(entry_shard &Shard, std::uint64_t Token,
+                                wire::Answer::Reader Answer) {
+  hearOffers(Answer.getOffers());
+  if (Answer.getNoSuchNode()) {
+    step(Shard, gateway_failed{Token, false, false});
+    return;
+  }
+  auto Found = Requests.find(Token);
+  if (Found == Requests.end())
+    return;
+  const outcome Outcome = fromWire(Answer.getOutcome());
+  if (Outcome == outcome::Answered) {
+    received_answer Received;
+    Received.Status = Answer.getStatus();
+    Received.ContentType = toString(Answer.getContentType());
+    const auto Body = Answer.getBody();
+    Received.Body.assign(reinterpret_cast<const char *>(Body.begin()),
+                         Body.size());
+    Received.Length = Answer.getLength();
+    if (Answer.hasRest())
+      Received.Rest = Answer.getRest();
+    Found->second->Answer = std::move(Received);
+  }
+  step(Shard, gateway_answered{Token, Outcome, toString(Answer.getReason()),
+                               duration(Answer.getRetryAfterUs())});
+}
+
+void entry_daemon::askWitness(entry_shard &Shard, const ask_witness &Action) {
+  auto Found = Requests.find(Action.Token);
+  if (Found == Requests.end())
+    return;
+  const std::uint64_t Token = Action.Token;
+  const std::string Address = addressOf(Action.Witness);
+  if (Address.empty()) {
+    step(Shard, witness_failed{Token});
+    return;
+  }
+  auto Request = Loop.peer<wire::Gateway>(Address).sealRequest();
+  Request.setNode(Action.Witness);
+  Request.setKey(Action.Key);
+  kj::Promise<capnp::Response<wire::Gateway::SealResults>> Call =
+      Request.send();
+  Found->second->Call =
+      Loop.within(WitnessLimit, kj::mv(Call))
+          .then(
+              [this, &Shard,
+               Token](capnp::Response<wire::Gateway::SealResults> Response) {
+                const auto Answer = Response.getAnswer();
+                if (Answer.getNoSuchNode())
+                  step(Shard, witness_failed{Token});
+                else
+                  step(Shard,
+                       witness_answered{Token, fromWire(Answer.getOutcome()),
+                                        duration(Answer.getRetryAfterUs())});
+              },
+              [this, &Shard, Token](kj::Exception &&) {
+                step(Shard, witness_failed{Token});
+              })
+          .eagerlyEvaluate(nullptr);
+}
+
+void entry_daemon::finish(const finish_caller &Action) {
+  auto Found = Requests.find(Action.Token);
+  if (Found == Requests.end())
+    return;
+  std::shared_ptr<entry_request> Held = std::move(Found->second);
+  Requests.erase(Found);
+  --InProgress;
+  // The call may be what is running now: it's let go of a turn later.
+  KJ_IF_MAYBE (Call, Held->Call) {
+    Loop.keep(kj::Promise<void>(kj::READY_NOW).attach(kj::mv(*Call)));
+    Held->Call = nullptr;
+  }
+  const std::lock_guard Guard(Held->Lock);
+  Held->End = Action;
+  Held->Done = true;
+  Held->Changed.notify_all();
+}
+
+void entry_daemon::submit(const std::shared_ptr<entry_request> &Request) {
+  ++InProgress;
+  entry_shard &Shard = shardOf(Request->Request.Customer);
+  std::vector<entry_action> Actions;
+  {
+    const std::lock_guard Guard(Shard.Lock);
+    Actions = stepEntry(Shard.Node, Request->Request, currentInstant());
+  }
+  Loop.run([&] {
+    Requests[Request->Request.Token] = Request;
+    perform(Shard, Actions);
+  });
+}
+
+void entry_daemon::abandon(const std::shared_ptr<entry_request> &Request) {
+  const std::uint64_t Token = Request->Request.Token;
+  step(shardOf(Request->Request.Customer), caller_left{Token});
+  Loop.run([&] {
+    if (Requests.erase(Token) != 0)
+      --InProgress;
+    Request->Call = nullptr;
+  });
+}
+
+std::int64_t entry_daemon::readRest(wire::ByteSource::Client &Source,
+                                    std::span<char> Buffer) {
+  return readFromSource(Loop, Source, Buffer);
+}
+
+void entry_daemon::drop(received_answer &Answer) {
+  if (Answer.Rest)
+    Loop.run([&] { Answer.Rest.reset(); });
+}
+
+void entry_daemon::hearOffers(capnp::List<wire::Offer>::Reader Offers) {
+  for (const service_offer &Offer : readOffers(Offers, currentInstant()))
+    stepAll(offer_heard{Offer.Service, Offer.Offer});
+}
+
+void entry_daemon::pollOffers() {
+  for (const auto &[Instance, Gateway] : Gateways) {
+    kj::Promise<capnp::Response<wire::Gateway::OffersResults>> Call =
+        Loop.peer<wire::Gateway>(Gateway.first).offersRequest().send();
+    Loop.keep(Loop.within(OfferLimit, kj::mv(Call))
+                  .then(
+                      [this](capnp::Response<wire::Gateway::OffersResults>
+                                 Response) { hearOffers(Response.getOffers()); },
+                      [this, Address = Gateway.first](kj::Exception &&) {
+                        Loop.dropPeer(Address);
+                      }));
+  }
+}
+
+std::string entry_daemon::explain(const std::string &Customer,
+                                  const std::string &Service) {
+  using json = nlohmann::ordered_json;
+  const instant Now = currentInstant();
+  entry_shard &Shard = shardOf(Customer);
+  const std::lock_guard Guard(Shard.Lock);
+  entry_node &Node = Shard.Node;
+  const std::vector<offer> Ranked =
+      candidateOffers(Node, Customer, Service, Now);
+  std::set<std::string> Sites;
+  for (const offer &Offer : Ranked)
+    Sites.insert(Offer.Site);
+  const std::vector<std::string> SiteList(Sites.begin(), Sites.end());
+  const std::string Preferred = preferredSite(SiteList, Customer);
+  json Result = {{"customer", Customer},
+                 {"service", Service},
+                 {"contract", Node.Contracts.contains(Customer)},
+                 {"preferred_site", Preferred},
+                 {"offers", json::array()}};
+  for (const offer &Offer : Ranked)
+    Result["offers"].push_back(
+        {{"site", Offer.Site},
+         {"gateway", Offer.Gateway},
+         {"free_units", Offer.FreeUnits},
+         {"cost_us", offerCost(Offer, Customer, Preferred,
+                               Node.Settings.Routing, Now)
+                         .count()},
+         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Now - Offer.Heard)
+                        .count()},
+         {"suspect", Offer.Suspect}});
+  return Result.dump();
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Entry/entry_view.cpp
@@ -0,0 +1,119 @@
+// The entry's reactions to changes of the platform's objects, and look-ups.
+
+#include "entry_daemon.h"
+
+#include "Logging/logging.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+/// How long a home is good for new keys.
+static constexpr std::int64_t HomeLifeMs = 300'000;
+/// Entries named in one answer.
+static constexpr std::size_t NamedEntries = 4;
+
+void entry_daemon::applyContracts(const object_view &View) {
+  const std::string Prefix = objectKey(kinds::Contract, "");
+  for (auto Entry = View.Items.lower_bound(Prefix);
+       Entry != View.Items.end() && Entry->first.starts_with(Prefix); ++Entry) {
+    const item &Item = Entry->second;
+    std::int64_t &Applied = ContractVersions[Item.Key];
+    if (Item.Version <= Applied)
+      continue;
+    Applied = Item.Version;
+    const std::string Customer = splitKey(Item.Key).Name;
+    entry_shard &Shard = shardOf(Customer);
+    if (Item.Deleted) {
+      step(Shard, contract_deleted{Customer});
+      continue;
+    }
+    result<contract> Contract = parseContract(Item.Value);
+    if (!Contract) {
+      // The last good one stays in force.
+      logLine(log_level::Error, "contract can't be read",
+              {{"customer", Customer}, {"reason", Contract.error().Message}});
+      continue;
+    }
+    step(Shard, contract_changed{*Contract});
+  }
+}
+
+void entry_daemon::applyView(const object_view &View,
+                             const std::set<std::string> &Down) {
+  const drains_in_force Drains = drainsOf(View);
+  const auto IsDrained = [&](const std::string &Instance) {
+    return std::find(Drains.Instances.begin(), Drains.Instances.end(),
+                     Instance) != Drains.Instances.end();
+  };
+  Gateways.clear();
+  gateways_changed Known;
+  for (const item *Item : itemsOf(View, kinds::Gateway)) {
+    const auto Record = parseDaemon(Item->Value);
+    if (!Record || Down.contains(Item->Key))
+      continue;
+    Gateways[Record->Instance] = {Record->Address, Item->Version};
+    for (const std::string &Site : Record->Sites)
+      Known.Gateways.push_back(
+          gatewayNodeId(Record->Instance, Site, Item->Version));
+  }
+  std::vector<named_entry> Named;
+  std::int64_t Sharing = 0;
+  for (const item *Item : itemsOf(View, kinds::Entry)) {
+    const auto Record = parseDaemon(Item->Value);
+    if (!Record)
+      continue;
+    ++Sharing;
+    if (!Down.contains(Item->Key) && !IsDrained(Record->Instance))
+      Named.push_back({Record->Instance, Record->Region, Record->Address});
+  }
+  stepAll(Known);
+  stepAll(entries_changed{std::max<std::int64_t>(Sharing, 1)});
+  stepAll(draining_sites_changed{{Drains.Sites.begin(), Drains.Sites.end()}});
+  applyContracts(View);
+  {
+    const std::lock_guard Guard(EntriesLock);
+    Entries = std::move(Named);
+  }
+  // Serves customers only once it has state, from the platform or from peers.
+  if (!View.Items.empty())
+    Ready = true;
+}
+
+lookup_answer entry_daemon::lookUp(const std::string &Customer,
+                                   const std::string &Service,
+                                   const std::string &Client) {
+  lookup_answer Answer;
+  {
+    const std::lock_guard Guard(EntriesLock);
+    Answer.Entries = Entries;
+  }
+  // Near ones first; within a region in an order of the client's own, so that
+  // clients spread and each stays with its entry.
+  const auto Rank = [&](const named_entry &Entry) {
+    return std::make_pair(Entry.Region != Settings.Region,
+                          stableHash(Client + "/" + Customer,
+                                     stableHash(Entry.Instance)));
+  };
+  std::sort(Answer.Entries.begin(), Answer.Entries.end(),
+            [&](const named_entry &Left, const named_entry &Right) {
+              return Rank(Left) < Rank(Right);
+            });
+  Answer.Entries.resize(std::min(Answer.Entries.size(), NamedEntries));
+  // Jitter, so that callers' answers don't run out together.
+  const std::int64_t Ttl = Settings.Entry.LookupTtlMs;
+  const auto Spread = static_cast<std::int64_t>(
+      stableHash(Client, static_cast<std::uint64_t>(currentWallMs())) %
+      static_cast<std::uint64_t>(Ttl / 5 + 1));
+  Answer.TtlMs = Ttl - Spread;
+  entry_shard &Shard = shardOf(Customer);
+  const std::lock_guard Guard(Shard.Lock);
+  const result<home_token> Home =
+      chooseHome(Shard.Node, Customer, Service, currentWallMs() + HomeLifeMs,
+                 currentInstant());
+  if (Home)
+    Answer.Home = formatHome(*Home);
+  return Answer;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -0,0 +1,330 @@
+#include "gateway_daemon.h"
+
+#include "Logging/logging.h"
+#include "Rpc/byte_source.h"
+#include "gateway_server.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace amaranthhoist {
+
+/// More exchanges than this wait for a thread; slots bound them far lower.
+static constexpr std::size_t MaxWorkers = 1'024;
+static constexpr duration TickPeriod = std::chrono::milliseconds(50);
+
+static std::string makeOperationId() {
+  std::random_device Device;
+  return std::to_string(Device()) + "-" + std::to_string(Device());
+}
+
+static link_identity identityOf(const instance_settings &Settings) {
+  link_identity Identity;
+  Identity.Key = objectKey(kinds::Gateway, Settings.Instance);
+  Identity.Record = {Settings.Instance,       Settings.Region,
+                     Settings.FailureDomain,  Settings.Gateway.Listen,
+                     Settings.Gateway.Sites,  makeOperationId()};
+  return Identity;
+}
+
+gateway_daemon::gateway_daemon(const instance_settings &Settings)
+    : Settings(Settings),
+      Control(Loop, Settings.Control.Listen, identityOf(Settings),
+              [this](const object_view &View,
+                     const std::set<std::string> &Down) {
+                applyView(View, Down);
+              }),
+      Workers(MaxWorkers) {}
+
+gateway_daemon::~gateway_daemon() { Timers.stop(); }
+
+result<bool> gateway_daemon::start() {
+  result<bool> Listening = true;
+  // Bound before registering: the bound port proves that no earlier process of
+  // this instance is left, which is what the new incarnation tells others.
+  Loop.run([&] {
+    Listening = Loop.listen(Settings.Gateway.Listen,
+                            kj::heap<gateway_server>(*this));
+  });
+  TRY(std::move(Listening));
+  if (!Settings.Gateway.MetricsListen.empty())
+    MetricsServer = TRY(http_server::createWhole(
+        Settings.Gateway.MetricsListen,
+        [this](const http_head &, const std::string &) {
+          http_response Response;
+          Response.Body = Metrics.expose();
+          return Response;
+        }));
+  Control.start();
+  Timers.subscribe(TickPeriod, [this] {
+    std::vector<node_shard *> All;
+    {
+      const std::lock_guard Guard(ShardsLock);
+      for (auto &[Site, Shard] : Shards)
+        All.push_back(Shard.get());
+    }
+    for (node_shard *Shard : All)
+      step(*Shard, clock_tick{});
+  });
+  if (!Settings.Gateway.ProbePath.empty())
+    Timers.subscribe(
+        std::chrono::milliseconds(Settings.Gateway.ProbePeriodMs),
+        [this] { Workers.submit([this] { probeTargets(); }); });
+  return true;
+}
+
+node_shard *gateway_daemon::findShard(const std::string &NodeId) {
+  const std::lock_guard Guard(ShardsLock);
+  for (auto &[Site, Shard] : Shards)
+    if (Shard->Node.Settings.Id == NodeId)
+      return Shard.get();
+  return nullptr;
+}
+
+void gateway_daemon::step(node_shard &Shard, const gateway_event &Event) {
+  std::vector<gateway_action> Actions;
+  {
+    const std::lock_guard Guard(Shard.Lock);
+    Actions = stepGateway(Shard.Node, Event, currentMoment());
+  }
+  if (Actions.empty())
+    return;
+  if (Loop.isLoopThread())
+    perform(Shard, std::move(Actions));
+  else
+    Loop.run([&] { perform(Shard, std::move(Actions)); });
+}
+
+void gateway_daemon::perform(node_shard &Shard,
+                             std::vector<gateway_action> Actions) {
+  for (gateway_action &Action : Actions)
+    performOne(Shard, Action);
+}
+
+void gateway_daemon::performOne(node_shard &Shard, gateway_action &Action) {
+  if (auto *Send = std::get_if<send_to_target>(&Action)) {
+    sendToTarget(Shard, *Send);
+  } else if (auto *Finish = std::get_if<finish_request>(&Action)) {
+    finish(*Finish);
+  } else if (auto *Peer = std::get_if<send_to_peer>(&Action)) {
+    sendToPeer(Shard.Node.Settings.Id, *Peer);
+  } else if (auto *Write = std::get_if<write_record>(&Action)) {
+    writeRecord(Shard, *Write);
+  } else if (auto *Cancel = std::get_if<cancel_at_target>(&Action)) {
+    const std::lock_guard Guard(PayloadLock);
+    auto Found = Payloads.find(Cancel->Token);
+    if (Found != Payloads.end())
+      Found->second->Abort = true;
+  }
+}
+
+void gateway_daemon::finish(finish_request &Action) {
+  std::shared_ptr<request_payload> Payload;
+  {
+    const std::lock_guard Guard(PayloadLock);
+    auto Held = Payloads.find(Action.Token);
+    if (Held != Payloads.end()) {
+      Payload = Held->second;
+      Payloads.erase(Held);
+    }
+  }
+  if (Payload)
+    Metrics.observeLatency({Payload->Customer, Payload->Service,
+                            std::string(toString(Action.Outcome))},
+                           currentInstant() - Payload->Arrived);
+  auto Found = Waiting.find(Action.Token);
+  if (Found == Waiting.end())
+    return;
+  gateway_answer Answer;
+  Answer.Outcome = Action.Outcome;
+  Answer.Reason = std::move(Action.Reason);
+  Answer.RetryAfter = Action.RetryAfter;
+  Answer.Answer = std::move(Action.Answer);
+  Answer.Length = static_cast<std::int64_t>(Answer.Answer.Body.size());
+  Found->second.Fulfiller->fulfill(kj::mv(Answer));
+  Waiting.erase(Found);
+}
+
+void gateway_daemon::sendToPeer(const std::string &From,
+                                const send_to_peer &Action) {
+  const auto Name = splitNodeId(Action.To);
+  if (!Name)
+    return;
+  auto Found = Addresses.find(Name->Instance);
+  // A later incarnation doesn't hold what the earlier one held.
+  if (Found == Addresses.end() || Found->second.second != Name->Incarnation)
+    return;
+  auto Request =
+      Loop.peer<wire::Gateway>(Found->second.first).deliverRequest();
+  Request.setFrom(From);
+  Request.setTo(Action.To);
+  writePeerMessage(Action.Message, Request.initMessage());
+  Loop.keep(Request.send().ignoreResult().catch_([](kj::Exception &&) {}));
+}
+
+void gateway_daemon::writeRecord(node_shard &Shard,
+                                 const write_record &Action) {
+  const pool_record Proposed = Action.Proposed;
+  Control.update(objectKey(kinds::Pool, Shard.Node.Site.Name),
+                 formatPool(Proposed), Proposed.Version, false,
+                 [this, &Shard, Proposed](update_result Result,
+                                          std::int64_t Version) {
+                   step(Shard,
+                        record_update_answered{Proposed, Result, Version});
+                 });
+}
+
+void gateway_daemon::sendToTarget(node_shard &Shard,
+                                  const send_to_target &Action) {
+  std::shared_ptr<request_payload> Payload;
+  {
+    const std::lock_guard Guard(PayloadLock);
+    auto Found = Payloads.find(Action.Token);
+    if (Found != Payloads.end())
+      Payload = Found->second;
+  }
+  if (!Payload) {
+    step(Shard, target_ended{Action.Token, target_end::NotReached});
+    return;
+  }
+  Workers.submit(
+      [this, &Shard, Action, Payload] { runWork(Shard, Action, Payload); });
+}
+
+body_reader gateway_daemon::sourceReader(
+    const std::shared_ptr<request_payload> &Payload) {
+  if (!Payload->Source)
+    return nullptr;
+  return [this, Payload](std::span<char> Buffer) -> std::int64_t {
+    return readFromSource(Loop, *Payload->Source, Buffer);
+  };
+}
+
+void gateway_daemon::runWork(node_shard &Shard, const send_to_target &Action,
+                             const std::shared_ptr<request_payload> &Payload) {
+  const instant Begin = currentInstant();
+  exchange_request Request;
+  Request.Address = Action.Address;
+  Request.RequestId =
+      Payload->RequestId + "-" + std::to_string(++Payload->Attempts);
+  Request.Method = Payload->Method;
+  Request.Path = Payload->Path;
+  Request.ContentType = Payload->ContentType;
+  Request.Key = Payload->Key;
+  Request.Body = Payload->Body;
+  Request.BodySource = sourceReader(Payload);
+  Request.Class = Payload->Class;
+  const duration Left = Action.Deadline - Begin;
+  Request.TimeoutMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Left).count();
+  // An absolute time: a pause between here and the send shortens the work
+  // instead of moving it past what is accounted for.
+  Request.DeadlineWallMs = currentWallMs() + Request.TimeoutMs;
+  Request.Abort = &Payload->Abort;
+  Request.OnStream = [this, Token = Action.Token](
+                         int Status, const http_headers &Headers,
+                         std::string First, std::shared_ptr<byte_pipe> Rest) {
+    stream(Token, Status, Headers, std::move(First), std::move(Rest));
+  };
+  exchange_result Result = runExchange(Clients, Request);
+  // A streamed request body can't be read twice.
+  const bool Consumed = Payload->Source.has_value();
+  target_ended Ended{Action.Token, Result.End, currentInstant() - Begin,
+                     Result.Streamed || Consumed, Result.Leaving,
+                     std::move(Result.Answer)};
+  step(Shard, Ended);
+}
+
+void gateway_daemon::stream(std::uint64_t Token, int Status,
+                            const http_headers &Headers, std::string First,
+                            std::shared_ptr<byte_pipe> Rest) {
+  Loop.run([&] {
+    auto Found = Waiting.find(Token);
+    if (Found == Waiting.end()) {
+      Rest->abandon();
+      return;
+    }
+    gateway_answer Answer;
+    Answer.Outcome = outcome::Answered;
+    Answer.Answer.Status = Status;
+    Answer.Answer.ContentType = headerOr(Headers, "content-type");
+    Answer.Answer.Body = std::move(First);
+    const std::string Length = headerOr(Headers, "content-length");
+    Answer.Length = Length.empty() ? -1 : std::atoll(Length.c_str());
+    Answer.Rest = std::move(Rest);
+    Found->second.Fulfiller->fulfill(kj::mv(Answer));
+    Waiting.erase(Found);
+  });
+}
+
+kj::Promise<gateway_answer>
+gateway_daemon::handleRun(const std::string &NodeId, work_request Work,
+                          std::shared_ptr<request_payload> Payload) {
+  node_shard *Shard = findShard(NodeId);
+  if (!Shard) {
+    gateway_answer Answer;
+    Answer.NoSuchNode = true;
+    return Answer;
+  }
+  Work.Token = NextToken++;
+  auto Paf = kj::newPromiseAndFulfiller<gateway_answer>();
+  Waiting[Work.Token] = {kj::mv(Paf.fulfiller)};
+  {
+    const std::lock_guard Guard(PayloadLock);
+    Payloads[Work.Token] = std::move(Payload);
+  }
+  step(*Shard, request_arrived{Work});
+  // Destroyed unfinished when the entry cancels its call or goes away.
+  const std::uint64_t Token = Work.Token;
+  return Paf.promise.attach(kj::defer([this, Shard, Token] {
+    if (Waiting.erase(Token) != 0)
+      step(*Shard, request_cancelled{Token});
+  }));
+}
+
+kj::Promise<gateway_answer>
+gateway_daemon::handleSeal(const std::string &NodeId, const std::string &Key) {
+  node_shard *Shard = findShard(NodeId);
+  if (!Shard) {
+    gateway_answer Answer;
+    Answer.NoSuchNode = true;
+    return Answer;
+  }
+  const std::uint64_t Token = NextToken++;
+  auto Paf = kj::newPromiseAndFulfiller<gateway_answer>();
+  Waiting[Token] = {kj::mv(Paf.fulfiller)};
+  step(*Shard, seal_asked{Token, Key});
+  return kj::mv(Paf.promise);
+}
+
+void gateway_daemon::handlePeerMessage(const std::string &From,
+                                       const std::string &To,
+                                       const peer_message &Message) {
+  if (node_shard *Shard = findShard(To))
+    step(*Shard, peer_message_arrived{From, Message});
+}
+
+void gateway_daemon::leave(duration Limit) {
+  const instant Until = currentInstant() + Limit;
+  Loop.run([this] {
+    Leaving = true;
+    Control.unregister();
+    for (auto &[Site, Shard] : Shards)
+      step(*Shard, drain_changed{true, true});
+  });
+  while (currentInstant() < Until && !allLeft())
+    std::this_thread::sleep_for(TickPeriod);
+  logLine(allLeft() ? log_level::Info : log_level::Warn, "left",
+          {{"complete", allLeft() ? "yes" : "no"}});
+}
+
+bool gateway_daemon::allLeft() {
+  const std::lock_guard Guard(ShardsLock);
+  return std::all_of(Shards.begin(), Shards.end(), [](auto &Entry) {
+    const std::lock_guard NodeGuard(Entry.second->Lock);
+    return hasLeft(Entry.second->Node);
+  });
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Gateway/gateway_view.cpp
@@ -0,0 +1,207 @@
+// The daemon's reactions to changes of the platform's objects, and its reports.
+
+#include "gateway_daemon.h"
+
+#include "Logging/logging.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace amaranthhoist {
+
+static gateway_settings nodeSettings(const instance_settings &Settings,
+                                     const std::string &Site,
+                                     std::int64_t Incarnation) {
+  gateway_settings Node;
+  Node.Id = gatewayNodeId(Settings.Instance, Site, Incarnation);
+  Node.FailureDomain = Settings.FailureDomain;
+  Node.Queue.MaxPerCustomer =
+      static_cast<std::size_t>(Settings.Gateway.QueuePerCustomer);
+  Node.Queue.MaxTotal = static_cast<std::size_t>(Settings.Gateway.QueueTotal);
+  Node.Keys.MaxKeys = static_cast<std::size_t>(Settings.Gateway.MaxKeys);
+  Node.MaxWork = std::chrono::milliseconds(Settings.Gateway.MaxWorkMs);
+  Node.Budget.ReclaimDelay =
+      Node.MaxWork + Node.EndMargin + 4 * Node.Budget.LoanLease;
+  return Node;
+}
+
+static std::vector<target_settings> targetsOf(const object_view &View,
+                                              const std::string &Site) {
+  const drains_in_force Drains = drainsOf(View);
+  std::vector<target_settings> Targets;
+  for (const item *Item : itemsOf(View, kinds::Target)) {
+    result<target_settings> Target = parseTarget(Item->Value);
+    if (!Target || Target->Site != Site)
+      continue;
+    const bool Drained =
+        std::find(Drains.Targets.begin(), Drains.Targets.end(),
+                  Target->Name) != Drains.Targets.end();
+    Target->Leaving = Target->Leaving || Drained;
+    Targets.push_back(std::move(*Target));
+  }
+  return Targets;
+}
+
+peers_changed gateway_daemon::peersOf(const std::string &Site,
+                                      const object_view &View,
+                                      const std::set<std::string> &Down) const {
+  peers_changed Peers;
+  for (const item *Item : itemsOf(View, kinds::Gateway)) {
+    const result<daemon_record> Record = parseDaemon(Item->Value);
+    if (!Record || Record->Instance == Settings.Instance ||
+        Down.contains(Item->Key))
+      continue;
+    for (const std::string &Served : Record->Sites) {
+      const std::string Id =
+          gatewayNodeId(Record->Instance, Served, Item->Version);
+      Peers.Witnesses.push_back(Id);
+      if (Served == Site)
+        Peers.Peers.push_back(Id);
+    }
+  }
+  return Peers;
+}
+
+void gateway_daemon::applyView(const object_view &View,
+                               const std::set<std::string> &Down) {
+  Addresses.clear();
+  for (const item *Item : itemsOf(View, kinds::Gateway))
+    if (const auto Record = parseDaemon(Item->Value))
+      Addresses[Record->Instance] = {Record->Address, Item->Version};
+  const std::int64_t Incarnation = Control.incarnation();
+  if (Incarnation == 0)
+    return;
+  for (const std::string &Site : Settings.Gateway.Sites) {
+    auto Item = View.Items.find(objectKey(kinds::Site, Site));
+    if (Item == View.Items.end() || Item->second.Deleted)
+      continue;
+    if (!Shards.contains(Site)) {
+      auto Shard = std::make_unique<node_shard>();
+      Shard->Node = makeGateway(nodeSettings(Settings, Site, Incarnation));
+      logLine(log_level::Info, "serving site",
+              {{"site", Site}, {"node", Shard->Node.Settings.Id}});
+      const std::lock_guard Guard(ShardsLock);
+      Shards[Site] = std::move(Shard);
+    }
+    if (const auto Parsed = parseSite(Item->second.Value)) {
+      node_shard &Shard = *Shards[Site];
+      step(Shard, site_changed{*Parsed, targetsOf(View, Site)});
+      applySite(Shard, View, Down);
+    }
+  }
+}
+
+void gateway_daemon::applySite(node_shard &Shard, const object_view &View,
+                               const std::set<std::string> &Down) {
+  const std::string &Site = Shard.Node.Site.Name;
+  step(Shard, peersOf(Site, View, Down));
+  auto Pool = View.Items.find(objectKey(kinds::Pool, Site));
+  if (Pool != View.Items.end()) {
+    if (const auto Record =
+            parsePool(Pool->second.Value, Pool->second.Version)) {
+      step(Shard, record_seen{*Record});
+      for (const auto &[Holder, Row] : Record->Shares)
+        if (isProvedDead(View, Holder))
+          step(Shard, holder_dead{Holder});
+    }
+  }
+  const drains_in_force Drains = drainsOf(View);
+  const auto Contains = [](const std::vector<std::string> &Names,
+                           const std::string &Name) {
+    return std::find(Names.begin(), Names.end(), Name) != Names.end();
+  };
+  const bool Draining = Contains(Drains.Sites, Site) ||
+                        Contains(Drains.Instances, Settings.Instance);
+  step(Shard, drain_changed{Draining || Leaving, Leaving});
+}
+
+/// One gateway probes each target: a probe costs a target several milliseconds.
+static bool isProber(const gateway_node &Node, const std::string &Target) {
+  const std::uint64_t Own = stableHash(Target, stableHash(Node.Settings.Id));
+  for (const std::string &Peer : Node.Peers)
+    if (stableHash(Target, stableHash(Peer)) > Own)
+      return false;
+  return true;
+}
+
+void gateway_daemon::probeTargets() {
+  struct probe {
+    node_shard *Shard;
+    std::string Target;
+    std::string Address;
+  };
+  std::vector<probe> Probes;
+  {
+    const std::lock_guard Guard(ShardsLock);
+    for (auto &[Site, Shard] : Shards) {
+      const std::lock_guard NodeGuard(Shard->Lock);
+      for (const auto &[Name, Target] : Shard->Node.Targets)
+        if (!Target.Leaving && isProber(Shard->Node, Name))
+          Probes.push_back({Shard.get(), Name, Target.Address});
+    }
+  }
+  http_client Client;
+  for (const probe &Probe : Probes)
+    if (probeSaysLeaving(Client, Probe.Address, Settings.Gateway.ProbePath))
+      step(*Probe.Shard, target_leaving{Probe.Target});
+}
+
+std::vector<service_offer> gateway_daemon::offers() {
+  std::vector<service_offer> Offers;
+  const instant Now = currentInstant();
+  for (auto &[Site, Shard] : Shards) {
+    const std::lock_guard Guard(Shard->Lock);
+    std::set<std::string> Services;
+    for (const auto &[Name, Target] : Shard->Node.Targets)
+      Services.insert(Target.Service);
+    for (const std::string &Service : Services)
+      Offers.push_back({Service, makeOffer(Shard->Node, Service, Now)});
+  }
+  return Offers;
+}
+
+static nlohmann::ordered_json targetStatus(const target_state &Target) {
+  return {{"service", Target.Service},
+          {"slots", Target.Slots},
+          {"in_flight", Target.InFlight},
+          {"leaving", Target.Leaving},
+          {"failures", Target.Failures}};
+}
+
+static nlohmann::ordered_json resourceStatus(const gateway_node &Node,
+                                             const std::string &Resource,
+                                             const share &Share) {
+  return {{"granted", Share.Granted},
+          {"lent", Share.Lent},
+          {"used", Share.Used},
+          {"available",
+           availableUnits(Node.Budget, Resource, currentInstant())}};
+}
+
+std::string gateway_daemon::statusJson() {
+  using json = nlohmann::ordered_json;
+  json Nodes = json::array();
+  for (auto &[Site, Shard] : Shards) {
+    const std::lock_guard Guard(Shard->Lock);
+    const gateway_node &Node = Shard->Node;
+    json Entry = {{"node", Node.Settings.Id},
+                  {"site", Site},
+                  {"region", Node.Site.Region},
+                  {"cap_mw", Node.Site.CapMilliwatts},
+                  {"idle_mw", Node.Site.IdleMilliwatts},
+                  {"guard_mw", Node.Site.GuardMilliwatts},
+                  {"draining", Node.Draining},
+                  {"in_progress", workInProgress(Node)},
+                  {"waiting", Node.Work.size()},
+                  {"keys", Node.Owned.Keys.size()},
+                  {"pool_version", Node.Budget.Record.Version}};
+    for (const auto &[Name, Target] : Node.Targets)
+      Entry["targets"][Name] = targetStatus(Target);
+    for (const auto &[Resource, Share] : Node.Budget.Shares)
+      Entry["budget"][Resource] = resourceStatus(Node, Resource, Share);
+    Nodes.push_back(std::move(Entry));
+  }
+  return json{{"instance", Settings.Instance}, {"nodes", Nodes}}.dump();
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Gateway/target_exchange.cpp
@@ -0,0 +1,171 @@
+#include "target_exchange.h"
+
+#include "Timers/timers.h"
+
+#include <utility>
+
+namespace amaranthhoist {
+
+/// Longest answer that is handed on in one message.
+static constexpr std::size_t MaxWholeAnswer = 65'536;
+/// Longest answer to non-idempotent work.
+static constexpr std::size_t MaxKeyedAnswer = 1'048'576;
+/// Bytes of one answer held between backend server and entry.
+static constexpr std::size_t PipeLimit = 262'144;
+/// An answer that takes longer than this is streamed from here on.
+static constexpr duration HoldBack = std::chrono::milliseconds(20);
+static constexpr std::int64_t CancelTimeoutMs = 1'000;
+static constexpr std::int64_t ProbeTimeoutMs = 1'000;
+
+std::unique_ptr<http_client> client_pool::take(const std::string &Address) {
+  {
+    const std::lock_guard Guard(Lock);
+    auto &Clients = Free[Address];
+    if (!Clients.empty()) {
+      auto Client = std::move(Clients.back());
+      Clients.pop_back();
+      return Client;
+    }
+  }
+  return std::make_unique<http_client>();
+}
+
+void client_pool::give(const std::string &Address,
+                       std::unique_ptr<http_client> Client) {
+  const std::lock_guard Guard(Lock);
+  Free[Address].push_back(std::move(Client));
+}
+
+namespace {
+
+/// Collects or streams one answer while it arrives.
+class answer_sink {
+public:
+  explicit answer_sink(const exchange_request &Request) : Request(Request) {}
+
+  void head(int Status, const http_headers &Headers) {
+    HeadAt = currentInstant();
+    this->Status = Status;
+    this->Headers = Headers;
+    // An answer that doesn't name this very request is somebody else's: a
+    // cross-wired proxy or a reused connection. Not a byte of it goes on.
+    Own = headerOr(Headers, "x-request-id") == Request.RequestId;
+  }
+
+  bool piece(std::string_view Bytes) {
+    if (!Own)
+      return false;
+    if (Pipe)
+      return Pipe->push(Bytes);
+    Collected.append(Bytes);
+    if (Request.Class == work_class::NonIdempotent)
+      return Collected.size() <= MaxKeyedAnswer;
+    const bool Slow = currentInstant() - HeadAt > HoldBack;
+    if (Collected.size() > MaxWholeAnswer || Slow)
+      startStream();
+    return true;
+  }
+
+  bool isOwn() const { return Own; }
+  bool isStreaming() const { return Pipe != nullptr; }
+  void finish(bool Whole) {
+    if (Pipe)
+      Pipe->finish(Whole);
+  }
+  std::string takeCollected() { return std::move(Collected); }
+
+private:
+  void startStream() {
+    Pipe = std::make_shared<byte_pipe>(PipeLimit);
+    Request.OnStream(Status, Headers, std::exchange(Collected, {}), Pipe);
+  }
+
+  const exchange_request &Request;
+  instant HeadAt{};
+  int Status = 0;
+  http_headers Headers;
+  bool Own = false;
+  std::string Collected;
+  std::shared_ptr<byte_pipe> Pipe;
+};
+
+} // namespace
+
+static http_call makeCall(const exchange_request &Request, answer_sink &Sink) {
+  http_call Call;
+  Call.Method = Request.Method;
+  Call.Url = "http://" + Request.Address + Request.Path;
+  Call.Body = Request.Body;
+  Call.BodySource = Request.BodySource;
+  Call.Headers["X-Request-Id"] = Request.RequestId;
+  Call.Headers["X-Deadline-Ms"] = std::to_string(Request.DeadlineWallMs);
+  if (!Request.ContentType.empty())
+    Call.Headers["Content-Type"] = Request.ContentType;
+  if (!Request.Key.empty())
+    Call.Headers["Idempotency-Key"] = Request.Key;
+  Call.TimeoutMs = Request.TimeoutMs;
+  Call.FreshConnection = Request.Class == work_class::NonIdempotent;
+  Call.Abort = Request.Abort;
+  Call.OnHead = [&Sink](int Status, const http_headers &Headers) {
+    Sink.head(Status, Headers);
+  };
+  Call.OnBody = [&Sink](std::string_view Piece) { return Sink.piece(Piece); };
+  return Call;
+}
+
+/// Asks the backend server to stop the work. Only its own word proves the end.
+static bool cancelAtTarget(const exchange_request &Request) {
+  http_client Client;
+  http_call Call;
+  Call.Method = "DELETE";
+  Call.Url = "http://" + Request.Address + "/requests/" + Request.RequestId;
+  Call.TimeoutMs = CancelTimeoutMs;
+  const http_call_result Result = Client.call(Call);
+  return Result.End == call_end::Complete && Result.Status == 200;
+}
+
+static target_end endOf(const exchange_request &Request,
+                        const http_call_result &Result, bool Own) {
+  if (Result.End == call_end::NotConnected)
+    return target_end::NotReached;
+  if (Result.End == call_end::Complete && Own) {
+    if (Result.Status == 503 && headerOr(Result.Headers, "x-not-run") == "1")
+      return target_end::Shed;
+    return target_end::Completed;
+  }
+  if (Request.Class == work_class::Idempotent && cancelAtTarget(Request))
+    return target_end::Stopped;
+  return target_end::Broken;
+}
+
+exchange_result runExchange(client_pool &Clients,
+                            const exchange_request &Request) {
+  std::unique_ptr<http_client> Client = Clients.take(Request.Address);
+  answer_sink Sink(Request);
+  const http_call_result Call = Client->call(makeCall(Request, Sink));
+  exchange_result Result;
+  Result.End = endOf(Request, Call, Sink.isOwn());
+  Result.Streamed = Sink.isStreaming();
+  Result.Leaving = headerOr(Call.Headers, "x-draining") == "1";
+  Sink.finish(Result.End == target_end::Completed);
+  Result.Answer.Status = Call.Status;
+  Result.Answer.ContentType = headerOr(Call.Headers, "content-type");
+  Result.Answer.Body = Sink.takeCollected();
+  if (Call.End == call_end::Complete && Sink.isOwn())
+    Clients.give(Request.Address, std::move(Client));
+  return Result;
+}
+
+bool probeSaysLeaving(http_client &Client, const std::string &Address,
+                      const std::string &Path) {
+  http_call Call;
+  Call.Url = "http://" + Address + Path;
+  Call.TimeoutMs = ProbeTimeoutMs;
+  const http_call_result Result = Client.call(Call);
+  // Silence or an error is no word of leaving: failures are counted where work
+  // is sent.
+  return Result.End == call_end::Complete &&
+         headerOr(Result.Headers, "x-draining") == "1";
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Utilities/Caller/check.cpp
@@ -0,0 +1,93 @@
+#include "caller.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace amaranthhoist {
+
+namespace {
+
+/// What the backend stand-ins counted, over all of them.
+struct execution_count {
+  std::map<std::string, std::int64_t> ByKey;
+  std::int64_t Overloads = 0;
+  std::int64_t AfterDrain = 0;
+  std::int64_t Silent = 0;
+};
+
+} // namespace
+
+static execution_count countExecutions(const std::vector<std::string> &Backends) {
+  execution_count Count;
+  http_client Client;
+  for (const std::string &Backend : Backends) {
+    http_call Call;
+    Call.Url = "http://" + Backend + "/report";
+    const http_call_result Result = Client.call(Call);
+    const auto Report = nlohmann::json::parse(Result.Body, nullptr, false);
+    if (Result.End != call_end::Complete || !Report.is_object()) {
+      ++Count.Silent;
+      continue;
+    }
+    Count.Overloads += Report.value("overloads", 0);
+    Count.AfterDrain += Report.value("after_drain", 0);
+    for (const auto &Execution : Report["executions"])
+      if (const std::string Key = Execution.value("key", ""); !Key.empty())
+        ++Count.ByKey[Key];
+  }
+  return Count;
+}
+
+static double percentile(std::vector<double> &Values, double Part) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  const auto Place = static_cast<std::size_t>(
+      Part * static_cast<double>(Values.size() - 1));
+  return Values[Place];
+}
+
+static void printKinds(caller_report &Report) {
+  std::printf("%-12s %9s %9s %9s %9s %9s %9s %9s\n", "REQUEST", "ANSWERED",
+              "REFUSED", "NOT RUN", "UNKNOWN", "BROKEN", "P50 MS", "P99 MS");
+  for (auto &[Name, Kind] : Report.Kinds)
+    std::printf("%-12s %9ld %9ld %9ld %9ld %9ld %9.2f %9.2f\n", Name.c_str(),
+                long(Kind.Outcomes["answered"]), long(Kind.Outcomes["refused"]),
+                long(Kind.Outcomes["not-run"]), long(Kind.Outcomes["unknown"]),
+                long(Kind.Outcomes["broken"]),
+                percentile(Kind.Milliseconds, 0.5),
+                percentile(Kind.Milliseconds, 0.99));
+}
+
+bool checkAndPrint(caller_report &Report,
+                   const std::vector<std::string> &Backends) {
+  const execution_count Count = countExecutions(Backends);
+  std::int64_t Doubled = 0;
+  std::int64_t RanAgainstWord = 0;
+  std::int64_t AnsweredUnrun = 0;
+  for (const auto &[Key, Times] : Count.ByKey)
+    Doubled += Times > 1 ? 1 : 0;
+  for (const auto &[Key, Told] : Report.Keys) {
+    const bool Ran = Count.ByKey.contains(Key);
+    RanAgainstWord += Told.Outcome == "not-run" && Ran ? 1 : 0;
+    AnsweredUnrun += Told.Outcome == "answered" && !Ran ? 1 : 0;
+  }
+  printKinds(Report);
+  for (const std::string &Note : Report.Notes)
+    std::printf("note: %s\n", Note.c_str());
+  std::printf("%ld lost, %ld doubled, %ld truncated, %ld wrong, "
+              "%ld run though told not run, %ld told answered but not run, "
+              "%ld sent past a target's slots, %ld sent after a drain\n",
+              long(Report.Lost), long(Doubled), long(Report.Truncated),
+              long(Report.Wrong), long(RanAgainstWord), long(AnsweredUnrun),
+              long(Count.Overloads), long(Count.AfterDrain));
+  if (Count.Silent != 0)
+    std::printf("%ld backend stand-ins gave no report\n", long(Count.Silent));
+  return Report.Lost + Doubled + Report.Truncated + Report.Wrong +
+             RanAgainstWord + AnsweredUnrun + Count.Overloads +
+             Count.AfterDrain + Count.Silent ==
+         0;
+}
+
+} // namespace amaranthhoist
