--- a/Libraries/Admission/admission.cpp
+++ b/Libraries/Admission/admission.cpp
@@ -132,10 +132,10 @@
 }
 
 duration spreadRetryAfter(duration Base, std::string_view RequestId) {
-  const auto Span = static_cast<std::uint64_t>(std::max<std::int64_t>(
-      Base.count(), 1));
-  return Base + duration(static_cast<std::int64_t>(
-                    stableHash(RequestId) % Span));
+  const auto Span =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(Base.count(), 1));
+  return Base +
+         duration(static_cast<std::int64_t>(stableHash(RequestId) % Span));
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Budget/budget.cpp
+++ b/Libraries/Budget/budget.cpp
@@ -116,8 +116,7 @@
 /// and no row gets every target's odd slot.
 static std::int64_t fairUnits(const pool_record &Record,
                               const std::string &Self,
-                              const std::string &Resource,
-                              std::int64_t Limit) {
+                              const std::string &Resource, std::int64_t Limit) {
   const auto Rows = static_cast<std::int64_t>(Record.Shares.size());
   const auto Rank = static_cast<std::int64_t>(
       std::distance(Record.Shares.begin(), Record.Shares.find(Self)));
@@ -151,9 +150,8 @@
   });
 }
 
-std::optional<pool_record> planUpdate(budget_holder &Holder,
-                                      const budget_timing &Timing,
-                                      instant Now) {
+std::optional<pool_record>
+planUpdate(budget_holder &Holder, const budget_timing &Timing, instant Now) {
   const std::set<std::string> Gone = reclaimable(Holder, Timing, Now);
   forgetLoansOfDead(Holder, Gone);
   if (Holder.Pending) {
--- a/Libraries/Budget/budget.h
+++ b/Libraries/Budget/budget.h
@@ -188,8 +188,7 @@
 
 /// Renews loans given, returns idle loans taken and repeats unconfirmed
 /// returns. Called a few times per LoanLease.
-std::vector<outgoing_loan_message> loanTick(budget_holder &Holder,
-                                            const budget_timing &Timing,
-                                            instant Now);
+std::vector<outgoing_loan_message>
+loanTick(budget_holder &Holder, const budget_timing &Timing, instant Now);
 
 } // namespace amaranthhoist
--- a/Libraries/Budget/loans.cpp
+++ b/Libraries/Budget/loans.cpp
@@ -15,8 +15,7 @@
                                   const std::string &Peer,
                                   const std::string &Resource,
                                   std::int64_t Units, instant Now) {
-  const std::string Id =
-      Holder.Self + "/" + std::to_string(Holder.NextLoan++);
+  const std::string Id = Holder.Self + "/" + std::to_string(Holder.NextLoan++);
   Holder.Requested.emplace(Id, Now);
   return {Peer, {kind::Borrow, {}, Id, Resource, Units}};
 }
@@ -35,9 +34,10 @@
   return std::clamp<std::int64_t>((Idle + 1) / 2, 0, Message.Units);
 }
 
-static std::vector<outgoing_loan_message>
-lend(budget_holder &Holder, const std::string &From,
-     const loan_message &Message, instant Now) {
+static std::vector<outgoing_loan_message> lend(budget_holder &Holder,
+                                               const std::string &From,
+                                               const loan_message &Message,
+                                               instant Now) {
   auto Known = Holder.Given.find(Message.LoanId);
   if (Known == Holder.Given.end()) {
     if (Holder.Dead.contains(From))
@@ -128,9 +128,8 @@
   }
 }
 
-std::vector<outgoing_loan_message> loanTick(budget_holder &Holder,
-                                            const budget_timing &Timing,
-                                            instant Now) {
+std::vector<outgoing_loan_message>
+loanTick(budget_holder &Holder, const budget_timing &Timing, instant Now) {
   std::erase_if(Holder.Requested, [&](const auto &Entry) {
     return Now >= Entry.second + Timing.LoanLease;
   });
--- a/Libraries/ClientMap/client_map.cpp
+++ b/Libraries/ClientMap/client_map.cpp
@@ -15,8 +15,7 @@
         Base + (static_cast<std::uint64_t>(Sub) << SubRangeShift);
     const auto Found =
         std::lower_bound(Chunk.Firsts.begin(), Chunk.Firsts.end(), Start);
-    Chunk.Index[Sub] =
-        static_cast<std::uint32_t>(Found - Chunk.Firsts.begin());
+    Chunk.Index[Sub] = static_cast<std::uint32_t>(Found - Chunk.Firsts.begin());
   }
 }
 
@@ -83,8 +82,8 @@
   const auto After = std::upper_bound(Begin, End, Address);
   if (After == Chunk.Firsts.begin())
     return NoGroup;
-  return Chunk.Groups[static_cast<std::size_t>(After - Chunk.Firsts.begin()) -
-                      1];
+  return Chunk
+      .Groups[static_cast<std::size_t>(After - Chunk.Firsts.begin()) - 1];
 }
 
 client_map_size sizeOf(const client_map &Map) {
--- a/Libraries/Contracts/contracts.cpp
+++ b/Libraries/Contracts/contracts.cpp
@@ -34,10 +34,9 @@
     return;
   const json &Items = Document[Field];
   const bool AllStrings =
-      Items.is_array() && std::all_of(Items.begin(), Items.end(),
-                                      [](const json &Item) {
-                                        return Item.is_string();
-                                      });
+      Items.is_array() &&
+      std::all_of(Items.begin(), Items.end(),
+                  [](const json &Item) { return Item.is_string(); });
   if (!AllStrings) {
     Faults.Faults.push_back(std::string(Field) + ": must be a list of names");
     return;
@@ -47,8 +46,10 @@
 
 static void checkFieldNames(const json &Document, fault_list &Faults) {
   static const std::vector<std::string> Known = {
-      "customer", "requests_per_second", "concurrency", "priority",
-      "weight",   "services",            "regions",     "operation_id"};
+      "customer",    "requests_per_second",
+      "concurrency", "priority",
+      "weight",      "services",
+      "regions",     "operation_id"};
   for (const auto &[Field, Value] : Document.items())
     if (std::find(Known.begin(), Known.end(), Field) == Known.end())
       Faults.Faults.push_back(Field + ": unknown field");
--- a/Libraries/ControlLink/control_link.cpp
+++ b/Libraries/ControlLink/control_link.cpp
@@ -89,25 +89,25 @@
   Request.setDeleted(Deleted);
   kj::Promise<capnp::Response<wire::Control::UpdateResults>> Call =
       Request.send();
-  Loop.keep(Loop.within(UpdateLimit, kj::mv(Call))
-                .then(
-                    [OnAnswer](
-                        capnp::Response<wire::Control::UpdateResults> Answer) {
-                      switch (Answer.getResult()) {
-                      case wire::UpdateResult::WRITTEN:
-                        OnAnswer(update_result::Written, Answer.getVersion());
-                        return;
-                      case wire::UpdateResult::CONFLICT:
-                        OnAnswer(update_result::Conflict, 0);
-                        return;
-                      case wire::UpdateResult::UNCERTAIN:
-                        OnAnswer(update_result::Uncertain, 0);
-                        return;
-                      }
-                    },
-                    [OnAnswer](kj::Exception &&) {
-                      OnAnswer(update_result::Uncertain, 0);
-                    }));
+  Loop.keep(
+      Loop.within(UpdateLimit, kj::mv(Call))
+          .then(
+              [OnAnswer](capnp::Response<wire::Control::UpdateResults> Answer) {
+                switch (Answer.getResult()) {
+                case wire::UpdateResult::WRITTEN:
+                  OnAnswer(update_result::Written, Answer.getVersion());
+                  return;
+                case wire::UpdateResult::CONFLICT:
+                  OnAnswer(update_result::Conflict, 0);
+                  return;
+                case wire::UpdateResult::UNCERTAIN:
+                  OnAnswer(update_result::Uncertain, 0);
+                  return;
+                }
+              },
+              [OnAnswer](kj::Exception &&) {
+                OnAnswer(update_result::Uncertain, 0);
+              }));
 }
 
 void control_link::unregister() {
--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -29,10 +29,9 @@
   sigwait(&Set, &Signal);
 }
 
-static int
-runWithSettings(const std::string &File, const std::string &Name,
-                const std::function<result<bool>(const instance_settings &)>
-                    &Run) {
+static int runWithSettings(
+    const std::string &File, const std::string &Name,
+    const std::function<result<bool>(const instance_settings &)> &Run) {
   const result<instance_settings> Settings = loadSettings(File);
   if (!Settings) {
     std::cerr << Settings.error().Message << "\n";
@@ -54,12 +53,10 @@
   cxxopts::Options Options(Name, "Part of amaranthhoist, global traffic "
                                  "steering for sites with capped power.");
   Options.add_options()("settings", "the instance's settings, YAML",
-                        cxxopts::value<std::string>(),
-                        "FILE")("version", "print the version")(
-      "h,help", "print this help");
+                        cxxopts::value<std::string>(), "FILE")(
+      "version", "print the version")("h,help", "print this help");
   try {
-    const cxxopts::ParseResult Parsed =
-        Options.parse(ArgumentCount, Arguments);
+    const cxxopts::ParseResult Parsed = Options.parse(ArgumentCount, Arguments);
     if (Parsed.count("help") != 0) {
       std::cout << Options.help();
       return exit_codes::Success;
--- a/Libraries/Daemon/daemon.h
+++ b/Libraries/Daemon/daemon.h
@@ -19,8 +19,9 @@
 
 /// Runs a daemon: reads `--settings FILE`, sets up the log, calls \p Run. Run
 /// starts the daemon, calls waitForStop() and ends it; its error is printed.
-int runDaemon(int ArgumentCount, char **Arguments, const std::string &Name,
-              const std::function<result<bool>(const instance_settings &)> &Run);
+int runDaemon(
+    int ArgumentCount, char **Arguments, const std::string &Name,
+    const std::function<result<bool>(const instance_settings &)> &Run);
 
 /// Blocks SIGTERM and SIGINT, so that only waitForStop() takes them. Called
 /// before any thread is made.
--- a/Libraries/Entry/entry.cpp
+++ b/Libraries/Entry/entry.cpp
@@ -110,8 +110,8 @@
     return "the contract doesn't include this service";
   if (Now >= Request.Deadline)
     return "the deadline has passed";
-  switch (takeLimit(Node.Limits[Request.Customer], *Contract, Node.Entries,
-                    Now)) {
+  switch (
+      takeLimit(Node.Limits[Request.Customer], *Contract, Node.Entries, Now)) {
   case limit_verdict::Allowed:
     return {};
   case limit_verdict::RateLimited:
@@ -138,8 +138,8 @@
 
 static void startIdempotent(entry_node &Node, entry_work &Work, instant Now,
                             actions &Actions) {
-  for (const offer &Offer : candidateOffers(Node, Work.Request.Customer,
-                                            Work.Request.Service, Now))
+  for (const offer &Offer :
+       candidateOffers(Node, Work.Request.Customer, Work.Request.Service, Now))
     Work.Candidates.push_back(Offer.Gateway);
   if (Work.Candidates.empty()) {
     finish(Node, Work.Request.Token, outcome::Refused,
@@ -174,8 +174,8 @@
 /// Tries the next gateway for idempotent work, within the retry budget.
 static bool tryNext(entry_node &Node, entry_work &Work, instant Now,
                     actions &Actions) {
-  if (Work.Request.Class != work_class::Idempotent ||
-      Work.Candidates.empty() || Now >= Work.Request.Deadline ||
+  if (Work.Request.Class != work_class::Idempotent || Work.Candidates.empty() ||
+      Now >= Work.Request.Deadline ||
       Work.Forwards >= Node.Settings.MaxForwards ||
       !spendRetry(Node.Retries[Work.Request.Customer]))
     return false;
@@ -231,8 +231,7 @@
   if (Found == Node.Work.end())
     return;
   const entry_work &Work = Found->second;
-  finish(Node, Token,
-         Work.MaybeDelivered ? outcome::Unknown : outcome::Refused,
+  finish(Node, Token, Work.MaybeDelivered ? outcome::Unknown : outcome::Refused,
          "the key's home can't be reached", comeBack(Node, Work.Request),
          Actions);
 }
--- a/Libraries/Entry/entry.h
+++ b/Libraries/Entry/entry.h
@@ -179,7 +179,8 @@
                                    const std::string &Service, instant Now);
 
 /// A home for a new key: the best gateway as owner and, as witness, one of the
-/// same region that runs in another failure domain. NotFound when there are no two.
+/// same region that runs in another failure domain. NotFound when there are no
+/// two.
 result<home_token> chooseHome(entry_node &Node, const std::string &Customer,
                               const std::string &Service,
                               std::int64_t ExpiresAtMs, instant Now);
--- a/Libraries/Gateway/arrival.cpp
+++ b/Libraries/Gateway/arrival.cpp
@@ -21,9 +21,8 @@
 static void queueItem(gateway_node &Node, const work_item &Item, moment Moment,
                       actions &Actions) {
   const work_request &Request = Item.Request;
-  const queued_request Queued{Request.Token, Request.Customer,
-                              Request.Priority, Request.Weight,
-                              Request.Deadline};
+  const queued_request Queued{Request.Token, Request.Customer, Request.Priority,
+                              Request.Weight, Request.Deadline};
   const enqueue_result Result =
       enqueue(Node.Queues[Request.Service], Queued, Node.Settings.Queue,
               predictedWait(Node, Request.Service), Moment.Now);
--- a/Libraries/Gateway/completion.cpp
+++ b/Libraries/Gateway/completion.cpp
@@ -122,11 +122,12 @@
 }
 
 static void finishIdempotent(gateway_node &Node, const work_request &Request,
-                             target_end End, actions &Actions) {
-  const bool Whole = End == target_end::Completed;
+                             const target_ended &Event, actions &Actions) {
+  const bool Whole = Event.End == target_end::Completed;
   finishWaiters(Node, {Request.Token}, Request,
                 Whole ? outcome::Answered : outcome::Refused,
-                Whole ? "" : "the backend server failed", {}, Actions);
+                Whole ? "" : "the backend server failed",
+                Whole ? Event.Answer : stored_answer{}, Actions);
 }
 
 static void finishKeyed(gateway_node &Node, const work_request &Request,
@@ -165,7 +166,7 @@
     if (Done.Request.Class == work_class::NonIdempotent)
       finishKeyed(Node, Done.Request, Event, Actions);
     else if (!Done.Cancelled)
-      finishIdempotent(Node, Done.Request, Event.End, Actions);
+      finishIdempotent(Node, Done.Request, Event, Actions);
   }
   pumpAll(Node, Moment, Actions);
 }
--- a/Libraries/Gateway/dispatch.cpp
+++ b/Libraries/Gateway/dispatch.cpp
@@ -109,8 +109,7 @@
 static bool trySend(gateway_node &Node, work_item &Item, moment Moment,
                     actions &Actions) {
   std::set<std::string> Short;
-  target_state *Target =
-      chooseTarget(Node, Item.Request, Moment.Now, Short);
+  target_state *Target = chooseTarget(Node, Item.Request, Moment.Now, Short);
   if (!Target) {
     askForLoans(Node, Item.Request, Short, Moment.Now, Actions);
     return false;
--- a/Libraries/Gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway.cpp
@@ -22,9 +22,8 @@
 static amounts limitsOf(const gateway_node &Node) {
   const site_settings &Site = Node.Site;
   amounts Limits;
-  Limits[PowerResource] =
-      std::max<std::int64_t>(0, Site.CapMilliwatts - Site.IdleMilliwatts -
-                                    Site.GuardMilliwatts);
+  Limits[PowerResource] = std::max<std::int64_t>(
+      0, Site.CapMilliwatts - Site.IdleMilliwatts - Site.GuardMilliwatts);
   for (const auto &[Region, Limit] : Site.LinkLimits)
     Limits[linkResource(Region)] = Limit;
   for (const auto &[Name, Target] : Node.Targets)
@@ -60,9 +59,8 @@
   }
   std::erase_if(Node.Targets, [&](const auto &Entry) {
     const bool Present =
-        std::any_of(Listed.begin(), Listed.end(), [&](const auto &Item) {
-          return Item.Name == Entry.first;
-        });
+        std::any_of(Listed.begin(), Listed.end(),
+                    [&](const auto &Item) { return Item.Name == Entry.first; });
     return !Present && Entry.second.InFlight == 0;
   });
 }
@@ -105,8 +103,7 @@
     gateway::pumpAll(Node, Moment, Actions);
   }
   void operator()(const record_update_answered &Event) const {
-    updateAnswered(Node.Budget, Event.Proposed, Event.Result,
-                   Event.NewVersion);
+    updateAnswered(Node.Budget, Event.Proposed, Event.Result, Event.NewVersion);
     gateway::pumpAll(Node, Moment, Actions);
   }
   void operator()(const site_changed &Event) const {
@@ -132,9 +129,8 @@
 
 } // namespace
 
-std::vector<gateway_action> stepGateway(gateway_node &Node,
-                                        const gateway_event &Event,
-                                        moment Moment) {
+std::vector<gateway_action>
+stepGateway(gateway_node &Node, const gateway_event &Event, moment Moment) {
   actions Actions;
   std::visit(event_handler{Node, Moment, Actions}, Event);
   return Actions;
--- a/Libraries/Gateway/gateway.h
+++ b/Libraries/Gateway/gateway.h
@@ -150,8 +150,8 @@
   std::string Target;
 };
 
-using peer_message = std::variant<loan_message, witness_record, witness_reply,
-                                  leaving_notice>;
+using peer_message =
+    std::variant<loan_message, witness_record, witness_reply, leaving_notice>;
 
 struct peer_message_arrived {
   std::string From;
@@ -239,9 +239,8 @@
   pool_record Proposed;
 };
 
-using gateway_action =
-    std::variant<send_to_target, cancel_at_target, finish_request, send_to_peer,
-                 write_record>;
+using gateway_action = std::variant<send_to_target, cancel_at_target,
+                                    finish_request, send_to_peer, write_record>;
 
 // State.
 
@@ -293,9 +292,8 @@
 gateway_node makeGateway(const gateway_settings &Settings);
 
 /// Takes in one event; returns what is to be done.
-std::vector<gateway_action> stepGateway(gateway_node &Node,
-                                        const gateway_event &Event,
-                                        moment Moment);
+std::vector<gateway_action>
+stepGateway(gateway_node &Node, const gateway_event &Event, moment Moment);
 
 /// What this node can take now for \p Service.
 offer makeOffer(const gateway_node &Node, const std::string &Service,
--- a/Libraries/Gateway/peers.cpp
+++ b/Libraries/Gateway/peers.cpp
@@ -45,9 +45,8 @@
     return;
   Item->Parked = false;
   const work_request &Request = Item->Request;
-  requeueFront(Node.Queues[Service],
-               {Token, Request.Customer, Request.Priority, Request.Weight,
-                Request.Deadline});
+  requeueFront(Node.Queues[Service], {Token, Request.Customer, Request.Priority,
+                                      Request.Weight, Request.Deadline});
   pump(Node, Service, Moment, Actions);
 }
 
@@ -69,8 +68,7 @@
     const bool Recorded =
         recordAtWitness(Node.Witnessed, Message.Key, Message.ExpiresAtMs,
                         Node.Settings.Keys, Moment.WallMs);
-    Actions.push_back(
-        send_to_peer{From, witness_reply{Message.Key, Recorded}});
+    Actions.push_back(send_to_peer{From, witness_reply{Message.Key, Recorded}});
   }
   void operator()(const leaving_notice &Message) const {
     targetLeaves(Node, Message.Target, false, Actions);
@@ -84,8 +82,7 @@
 
 void peerMessage(gateway_node &Node, const peer_message_arrived &Event,
                  moment Moment, actions &Actions) {
-  std::visit(message_handler{Node, Event.From, Moment, Actions},
-             Event.Message);
+  std::visit(message_handler{Node, Event.From, Moment, Actions}, Event.Message);
 }
 
 static bool isWaitingForWitness(const gateway_node &Node,
@@ -126,16 +123,15 @@
   }
 }
 
-static void expireWaiting(gateway_node &Node, moment Moment,
-                          actions &Actions) {
+static void expireWaiting(gateway_node &Node, moment Moment, actions &Actions) {
   for (auto &[Service, Queue] : Node.Queues)
     for (const queued_request &Request : expireQueued(Queue, Moment.Now))
       giveUp(Node, Request.Token, "deadline passed in the queue", Actions);
   for (const std::uint64_t Token : tokensWaitingForWitness(Node)) {
     work_item &Item = Node.Work.at(Token);
-    const instant Until = std::min(
-        Item.Request.Deadline,
-        Item.WitnessFirstAsked + Node.Settings.WitnessLimit);
+    const instant Until =
+        std::min(Item.Request.Deadline,
+                 Item.WitnessFirstAsked + Node.Settings.WitnessLimit);
     if (Moment.Now >= Until)
       abandonUnsent(Node, Token, "the witness did not answer", Actions);
     else if (Moment.Now >= Item.WitnessAsked + Node.Settings.WitnessRepeat)
@@ -161,8 +157,7 @@
   releaseLingering(Node, Moment.Now);
   expireKeys(Node.Owned, Node.Settings.Keys, Moment.WallMs);
   expireKeys(Node.Witnessed, Node.Settings.Keys, Moment.WallMs);
-  for (auto &Message :
-       loanTick(Node.Budget, Node.Settings.Budget, Moment.Now))
+  for (auto &Message : loanTick(Node.Budget, Node.Settings.Budget, Moment.Now))
     Actions.push_back(send_to_peer{Message.To, Message.Message});
   planRecord(Node, Moment, Actions);
   pumpAll(Node, Moment, Actions);
--- a/Libraries/Http/byte_pipe.cpp
+++ b/Libraries/Http/byte_pipe.cpp
@@ -19,12 +19,10 @@
   while (!Piece.empty()) {
     {
       std::unique_lock Guard(Lock);
-      Changed.wait(Guard,
-                   [&] { return Abandoned || Buffered.size() < Limit; });
+      Changed.wait(Guard, [&] { return Abandoned || Buffered.size() < Limit; });
       if (Abandoned)
         return false;
-      const std::size_t Part =
-          std::min(Piece.size(), Limit - Buffered.size());
+      const std::size_t Part = std::min(Piece.size(), Limit - Buffered.size());
       Buffered.append(Piece.substr(0, Part));
       Piece.remove_prefix(Part);
     }
--- a/Libraries/Http/client.cpp
+++ b/Libraries/Http/client.cpp
@@ -42,10 +42,10 @@
     Running.Result.Headers.clear();
   const std::size_t Colon = Line.find(':');
   if (Colon != std::string_view::npos)
-    Running.Result.Headers[absl::AsciiStrToLower(
-        std::string(Line.substr(0, Colon)))] =
-        std::string(absl::StripAsciiWhitespace(
-            std::string(Line.substr(Colon + 1))));
+    Running.Result
+        .Headers[absl::AsciiStrToLower(std::string(Line.substr(0, Colon)))] =
+        std::string(
+            absl::StripAsciiWhitespace(std::string(Line.substr(Colon + 1))));
   return Line.size();
 }
 
@@ -140,8 +140,9 @@
   curl_easy_setopt(Curl, CURLOPT_HTTPHEADER, Headers);
   curl_easy_setopt(Curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Curl, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(Curl, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(std::max<std::int64_t>(Call.TimeoutMs, 1)));
+  curl_easy_setopt(
+      Curl, CURLOPT_TIMEOUT_MS,
+      static_cast<long>(std::max<std::int64_t>(Call.TimeoutMs, 1)));
   curl_easy_setopt(Curl, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(Call.ConnectTimeoutMs));
   curl_easy_setopt(Curl, CURLOPT_FRESH_CONNECT, Call.FreshConnection ? 1L : 0L);
--- a/Libraries/Http/server.cpp
+++ b/Libraries/Http/server.cpp
@@ -90,8 +90,8 @@
                             &Head.Headers);
   MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, addArgument,
                             &Head.Query);
-  const auto *Info = MHD_get_connection_info(
-      Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  const auto *Info =
+      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   Head.Socket = Info ? Info->connect_fd : -1;
   return Head;
 }
--- a/Libraries/Logging/logging.cpp
+++ b/Libraries/Logging/logging.cpp
@@ -51,8 +51,9 @@
   log4cxx::MDC::put("instance", instanceName());
   for (const auto &[Name, Value] : Fields)
     log4cxx::MDC::put(std::string(Name), Value);
-  processLogger()->forcedLog(LogLevel, std::string(Message),
-                             log4cxx::spi::LocationInfo::getLocationUnavailable());
+  processLogger()->forcedLog(
+      LogLevel, std::string(Message),
+      log4cxx::spi::LocationInfo::getLocationUnavailable());
   for (const auto &[Name, Value] : Fields)
     log4cxx::MDC::remove(std::string(Name));
 }
--- a/Libraries/Membership/membership.cpp
+++ b/Libraries/Membership/membership.cpp
@@ -89,9 +89,9 @@
   if (Found == Membership.Members.end())
     return;
   member_state &Member = Found->second;
-  const bool Newer = Belief.Counter > Member.Counter ||
-                     (Belief.Counter == Member.Counter &&
-                      Belief.Status > Member.Status);
+  const bool Newer =
+      Belief.Counter > Member.Counter ||
+      (Belief.Counter == Member.Counter && Belief.Status > Member.Status);
   if (!Newer)
     return;
   Member.Counter = Belief.Counter;
@@ -122,11 +122,11 @@
     // A daemon that shows no life isn't answered for.
     if (!Membership.Own.contains(Message.Subject))
       return {};
-    return {make(Membership, From, kind::Ack, Message.Subject,
-                 Message.OnBehalfOf)};
+    return {
+        make(Membership, From, kind::Ack, Message.Subject, Message.OnBehalfOf)};
   case kind::PingFor:
-    return {make(Membership, Message.Subject, kind::Ping, Message.Subject,
-                 From)};
+    return {
+        make(Membership, Message.Subject, kind::Ping, Message.Subject, From)};
   case kind::Ack:
     heardFrom(Membership, Message.Subject, Now);
     if (Membership.Probe.Subject == Message.Subject)
@@ -157,21 +157,18 @@
 static void probeThroughOthers(membership &Membership, messages &Messages) {
   std::vector<std::string> Helpers;
   for (const auto &[Name, Member] : Membership.Members)
-    if (Member.Status == member_status::Up &&
-        Name != Membership.Probe.Subject)
+    if (Member.Status == member_status::Up && Name != Membership.Probe.Subject)
       Helpers.push_back(Name);
   std::shuffle(Helpers.begin(), Helpers.end(), Membership.Random);
-  Helpers.resize(
-      std::min(Helpers.size(), Membership.Policy.IndirectProbes));
+  Helpers.resize(std::min(Helpers.size(), Membership.Policy.IndirectProbes));
   for (const std::string &Helper : Helpers)
-    Messages.push_back(make(Membership, Helper, kind::PingFor,
-                            Membership.Probe.Subject, {}));
+    Messages.push_back(
+        make(Membership, Helper, kind::PingFor, Membership.Probe.Subject, {}));
 }
 
 static void escalate(membership &Membership, instant Now, messages &Messages) {
   running_probe &Probe = Membership.Probe;
-  if (Probe.Subject.empty() ||
-      Now < Probe.Sent + Membership.Policy.AckTimeout)
+  if (Probe.Subject.empty() || Now < Probe.Sent + Membership.Policy.AckTimeout)
     return;
   if (!Probe.Indirect) {
     Probe.Indirect = true;
--- a/Libraries/Metrics/metrics.h
+++ b/Libraries/Metrics/metrics.h
@@ -24,8 +24,7 @@
 
 /// Upper bounds of the histogram's buckets, in seconds.
 inline constexpr std::array<double, 14> LatencyBounds = {
-    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-    0.1,    0.2,   0.5,   1,     2,    5,    10};
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 
 /// Labels of one histogram.
 struct latency_labels {
--- a/Libraries/Objects/objects.cpp
+++ b/Libraries/Objects/objects.cpp
@@ -88,12 +88,10 @@
 }
 
 std::string formatTarget(const target_settings &Target) {
-  const json Document = {{"name", Target.Name},
-                         {"site", Target.Site},
-                         {"service", Target.Service},
-                         {"address", Target.Address},
-                         {"slots", Target.Slots},
-                         {"leaving", Target.Leaving}};
+  const json Document = {
+      {"name", Target.Name},       {"site", Target.Site},
+      {"service", Target.Service}, {"address", Target.Address},
+      {"slots", Target.Slots},     {"leaving", Target.Leaving}};
   return Document.dump();
 }
 
@@ -118,8 +116,7 @@
   return parseObject<pool_record>(Json, "pool", [&](const json &Document) {
     pool_record Record;
     Record.Version = Version;
-    Record.Shares =
-        Document.at("shares").get<std::map<std::string, amounts>>();
+    Record.Shares = Document.at("shares").get<std::map<std::string, amounts>>();
     return Record;
   });
 }
@@ -141,17 +138,18 @@
 }
 
 result<drain_record> parseDrain(std::string_view Json) {
-  auto Subject = parseObject<std::string>(
-      Json, "drain",
-      [](const json &Document) { return Document.at("subject").get<std::string>(); });
-  auto Name = parseObject<std::string>(
-      Json, "drain",
-      [](const json &Document) { return Document.at("name").get<std::string>(); });
+  auto Subject =
+      parseObject<std::string>(Json, "drain", [](const json &Document) {
+        return Document.at("subject").get<std::string>();
+      });
+  auto Name = parseObject<std::string>(Json, "drain", [](const json &Document) {
+    return Document.at("name").get<std::string>();
+  });
   drain_record Drain;
   const std::string Kind = TRY(std::move(Subject));
   Drain.Name = TRY(std::move(Name));
-  for (const auto Candidate : {drain_subject::Target, drain_subject::Site,
-                               drain_subject::Instance}) {
+  for (const auto Candidate :
+       {drain_subject::Target, drain_subject::Site, drain_subject::Instance}) {
     if (Kind != nameOf(Candidate))
       continue;
     Drain.Subject = Candidate;
--- a/Libraries/Platform/platform.h
+++ b/Libraries/Platform/platform.h
@@ -36,8 +36,7 @@
                            std::int64_t BaseVersion);
 
   /// As put(); leaves a tombstone.
-  result<std::int64_t> remove(const std::string &Key,
-                              std::int64_t BaseVersion);
+  result<std::int64_t> remove(const std::string &Key, std::int64_t BaseVersion);
 
   /// Objects changed after \p Revision; waits up to \p WaitMs for the first.
   result<watch_result> watch(std::int64_t Revision, std::int64_t WaitMs);
--- a/Libraries/Protocol/protocol.cpp
+++ b/Libraries/Protocol/protocol.cpp
@@ -50,8 +50,8 @@
   }
 }
 
-std::vector<service_offer>
-readOffers(capnp::List<wire::Offer>::Reader Reader, instant Now) {
+std::vector<service_offer> readOffers(capnp::List<wire::Offer>::Reader Reader,
+                                      instant Now) {
   std::vector<service_offer> Offers;
   for (const wire::Offer::Reader Item : Reader) {
     service_offer Entry;
@@ -157,10 +157,12 @@
     writeItems(Message.Items,
                Builder.initItems(static_cast<unsigned>(Message.Items.size())));
   }
-  void operator()(const replica_root &Message) { Builder.setRoot(Message.Root); }
+  void operator()(const replica_root &Message) {
+    Builder.setRoot(Message.Root);
+  }
   void operator()(const replica_buckets &Message) {
-    auto Hashes = Builder.initBucketHashes(
-        static_cast<unsigned>(Message.Hashes.size()));
+    auto Hashes =
+        Builder.initBucketHashes(static_cast<unsigned>(Message.Hashes.size()));
     for (unsigned Place = 0; Place < Hashes.size(); ++Place)
       Hashes.set(Place, Message.Hashes[Place]);
   }
--- a/Libraries/Protocol/protocol.h
+++ b/Libraries/Protocol/protocol.h
@@ -25,8 +25,8 @@
 
 void writeOffers(std::span<const service_offer> Offers,
                  capnp::List<wire::Offer>::Builder Builder);
-std::vector<service_offer>
-readOffers(capnp::List<wire::Offer>::Reader Reader, instant Now);
+std::vector<service_offer> readOffers(capnp::List<wire::Offer>::Reader Reader,
+                                      instant Now);
 
 void writePeerMessage(const peer_message &Message,
                       wire::PeerMessage::Builder Builder);
--- a/Libraries/Replica/replica.cpp
+++ b/Libraries/Replica/replica.cpp
@@ -57,7 +57,8 @@
                       std::span<const item> Items, messages &Messages) {
   const std::size_t Step = Replica.Policy.MaxItemsPerMessage;
   for (std::size_t Begin = 0; Begin < Items.size(); Begin += Step) {
-    const auto Part = Items.subspan(Begin, std::min(Step, Items.size() - Begin));
+    const auto Part =
+        Items.subspan(Begin, std::min(Step, Items.size() - Begin));
     Messages.push_back({To, replica_items{{Part.begin(), Part.end()}}});
   }
 }
@@ -165,8 +166,8 @@
   messages operator()(const replica_root &Message) const {
     if (Message.Root == replicaRoot(Replica))
       return {};
-    return {{From, replica_buckets{
-                       {Replica.Hashes.begin(), Replica.Hashes.end()}}}};
+    return {{From,
+             replica_buckets{{Replica.Hashes.begin(), Replica.Hashes.end()}}}};
   }
   messages operator()(const replica_buckets &Message) const {
     return compareBuckets(Replica, From, Message);
@@ -196,8 +197,8 @@
   if (Peers.empty())
     return {};
   std::uniform_int_distribution<std::size_t> Draw(0, Peers.size() - 1);
-  return {{Peers[Draw(Replica.Random)].Name,
-           replica_root{replicaRoot(Replica)}}};
+  return {
+      {Peers[Draw(Replica.Random)].Name, replica_root{replicaRoot(Replica)}}};
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Replica/replica.h
+++ b/Libraries/Replica/replica.h
@@ -66,9 +66,9 @@
   std::vector<std::string> Keys;
 };
 
-using replica_message = std::variant<replica_items, replica_root,
-                                     replica_buckets, replica_keys,
-                                     replica_want>;
+using replica_message =
+    std::variant<replica_items, replica_root, replica_buckets, replica_keys,
+                 replica_want>;
 
 /// A message and the peer it goes to.
 struct outgoing_replica_message {
@@ -108,9 +108,9 @@
 
 /// Applies \p Items from the platform or an operator's announcement; returns
 /// the pushes. \p Applied gets the items that were new.
-std::vector<outgoing_replica_message>
-applyItems(replica &Replica, std::span<const item> Items,
-           std::vector<item> &Applied);
+std::vector<outgoing_replica_message> applyItems(replica &Replica,
+                                                 std::span<const item> Items,
+                                                 std::vector<item> &Applied);
 
 /// Takes in a peer's message; returns replies and pushes.
 std::vector<outgoing_replica_message>
--- a/Libraries/Rpc/byte_source.cpp
+++ b/Libraries/Rpc/byte_source.cpp
@@ -41,9 +41,9 @@
       std::min(Context.getParams().getLimit(), MaxPiece);
   byte_pipe::taken Taken = Pipe.take(Limit);
   auto Results = Context.getResults();
-  Results.setData(capnp::Data::Reader(
-      reinterpret_cast<const kj::byte *>(Taken.Data.data()),
-      Taken.Data.size()));
+  Results.setData(
+      capnp::Data::Reader(reinterpret_cast<const kj::byte *>(Taken.Data.data()),
+                          Taken.Data.size()));
   Results.setLast(Taken.Last);
   Results.setBroken(Taken.Broken);
 }
@@ -59,9 +59,8 @@
   // It may have become ready between the check and the subscription.
   if (Pipe->isReady())
     Signal->fire();
-  return Paf.promise.then([Held = Pipe, Context]() mutable {
-    answer(*Held, Context);
-  });
+  return Paf.promise.then(
+      [Held = Pipe, Context]() mutable { answer(*Held, Context); });
 }
 
 /// What one read brought, handed from the loop's thread to the reader's.
@@ -86,7 +85,9 @@
                            Data.size()),
                Response.getLast(), Response.getBroken()});
         },
-        [Reply](kj::Exception &&) { Reply->set_value({{}, false, true}); }));
+        [Reply](kj::Exception &&) {
+          Reply->set_value({{}, false, true});
+        }));
   });
   return Future.get();
 }
--- a/Libraries/Rpc/rpc.cpp
+++ b/Libraries/Rpc/rpc.cpp
@@ -88,37 +88,36 @@
   auto Fresh = std::make_unique<connection>();
   connection *Raw = Fresh.get();
   Connections[Address] = std::move(Fresh);
-  auto Connecting =
-      Io->getNetwork()
-          .parseAddress(Address)
-          .then([](kj::Own<kj::NetworkAddress> Parsed) {
-            auto Promise = Parsed->connect();
-            return Promise.attach(kj::mv(Parsed));
-          });
+  auto Connecting = Io->getNetwork().parseAddress(Address).then(
+      [](kj::Own<kj::NetworkAddress> Parsed) {
+        auto Promise = Parsed->connect();
+        return Promise.attach(kj::mv(Parsed));
+      });
   auto Ready =
       within(ConnectLimit, kj::mv(Connecting))
-          .then([this, Raw, Address](kj::Own<kj::AsyncIoStream> Stream)
-                    -> capnp::Capability::Client {
-            auto Held = Connections.find(Address);
-            if (Held == Connections.end() || Held->second.get() != Raw)
-              KJ_FAIL_REQUIRE("connection dropped");
-            Raw->Stream = kj::mv(Stream);
-            Raw->Client = kj::heap<capnp::TwoPartyClient>(*Raw->Stream);
-            keep(Raw->Client->onDisconnect().then([this, Raw, Address] {
-              auto Current = Connections.find(Address);
-              if (Current != Connections.end() &&
-                  Current->second.get() == Raw)
-                dropPeer(Address);
-            }));
-            return Raw->Client->bootstrap();
-          },
-                [this, Raw, Address](kj::Exception &&Exception)
-                    -> capnp::Capability::Client {
-                  auto Held = Connections.find(Address);
-                  if (Held != Connections.end() && Held->second.get() == Raw)
-                    Connections.erase(Held);
-                  kj::throwFatalException(kj::mv(Exception));
-                });
+          .then(
+              [this, Raw, Address](kj::Own<kj::AsyncIoStream> Stream)
+                  -> capnp::Capability::Client {
+                auto Held = Connections.find(Address);
+                if (Held == Connections.end() || Held->second.get() != Raw)
+                  KJ_FAIL_REQUIRE("connection dropped");
+                Raw->Stream = kj::mv(Stream);
+                Raw->Client = kj::heap<capnp::TwoPartyClient>(*Raw->Stream);
+                keep(Raw->Client->onDisconnect().then([this, Raw, Address] {
+                  auto Current = Connections.find(Address);
+                  if (Current != Connections.end() &&
+                      Current->second.get() == Raw)
+                    dropPeer(Address);
+                }));
+                return Raw->Client->bootstrap();
+              },
+              [this, Raw, Address](
+                  kj::Exception &&Exception) -> capnp::Capability::Client {
+                auto Held = Connections.find(Address);
+                if (Held != Connections.end() && Held->second.get() == Raw)
+                  Connections.erase(Held);
+                kj::throwFatalException(kj::mv(Exception));
+              });
   Raw->Main = capnp::Capability::Client(kj::mv(Ready));
   return *Raw->Main;
 }
@@ -134,12 +133,11 @@
   };
   auto State = std::make_shared<server_state>();
   State->Server = kj::heap<capnp::TwoPartyServer>(kj::mv(Main));
-  auto Listening =
-      Io->getNetwork().parseAddress(Address).then(
-          [this, State](kj::Own<kj::NetworkAddress> Parsed) {
-            State->Receiver = Parsed->listen();
-            keep(State->Server->listen(*State->Receiver));
-          });
+  auto Listening = Io->getNetwork().parseAddress(Address).then(
+      [this, State](kj::Own<kj::NetworkAddress> Parsed) {
+        State->Receiver = Parsed->listen();
+        keep(State->Server->listen(*State->Receiver));
+      });
   keep(Listening.catch_([Address](kj::Exception &&Exception) {
     KJ_LOG(FATAL, "can't listen", Address, Exception);
     // Another process holds the address: an earlier start of this daemon may
--- a/Libraries/Settings/settings.cpp
+++ b/Libraries/Settings/settings.cpp
@@ -62,8 +62,7 @@
                 const std::vector<std::string> &Permitted = {}) {
     if (!readScalar(Field, Value, false) || Permitted.empty())
       return;
-    if (std::find(Permitted.begin(), Permitted.end(), Value) !=
-        Permitted.end())
+    if (std::find(Permitted.begin(), Permitted.end(), Value) != Permitted.end())
       return;
     std::string Message = "must be one of";
     for (const std::string &Item : Permitted)
@@ -136,8 +135,8 @@
     for (const auto &Entry : Node) {
       const auto Name = Entry.first.as<std::string>("");
       if (!Known.contains(Name))
-        Faults.push_back({Entry.first.Mark().line + 1, Prefix + Name,
-                          "unknown field"});
+        Faults.push_back(
+            {Entry.first.Mark().line + 1, Prefix + Name, "unknown field"});
     }
   }
 
--- a/Libraries/Timers/timers.cpp
+++ b/Libraries/Timers/timers.cpp
@@ -20,8 +20,7 @@
 
 timer_service::~timer_service() { stop(); }
 
-void timer_service::subscribe(duration Period,
-                              std::function<void()> Function) {
+void timer_service::subscribe(duration Period, std::function<void()> Function) {
   const std::lock_guard Guard(Lock);
   Subscriptions.push_back(
       {Period, currentInstant() + Period, std::move(Function)});
--- a/Services/Control/control_daemon.cpp
+++ b/Services/Control/control_daemon.cpp
@@ -37,8 +37,8 @@
 result<bool> control_daemon::start() {
   result<bool> Listening = true;
   Loop.run([&] {
-    Listening = Loop.listen(Settings.Control.Listen,
-                            kj::heap<control_server>(*this));
+    Listening =
+        Loop.listen(Settings.Control.Listen, kj::heap<control_server>(*this));
     setOwnMembers(Members, {Name});
     refreshMembers();
   });
@@ -76,8 +76,7 @@
 
 std::string control_daemon::addressOf(const std::string &Member) const {
   // A member is a daemon; its instance's control answers for it.
-  const std::string Key =
-      objectKey(kinds::Control, splitKey(Member).Name);
+  const std::string Key = objectKey(kinds::Control, splitKey(Member).Name);
   auto Found = Records.find(Key);
   // Seeds are named by their addresses until their objects are known.
   return Found == Records.end() ? Member : Found->second.Address;
@@ -146,8 +145,8 @@
         Peers.push_back({Seed, ""});
   setMembers(Members, Names);
   setReplicaPeers(Replica, Peers);
-  Registered = Records.contains(Name) &&
-               Records[Name].OperationId == OperationId;
+  Registered =
+      Records.contains(Name) && Records[Name].OperationId == OperationId;
 }
 
 /// Life signs come from the daemons' own calls, so a frozen daemon of a live
--- a/Services/Control/control_daemon.h
+++ b/Services/Control/control_daemon.h
@@ -54,8 +54,7 @@
                                           std::int64_t BaseVersion);
   void handleAnnounce(const std::vector<item> &Items);
   void handleReplica(const std::string &From, const replica_message &Message);
-  void handleProbe(const std::string &From,
-                   const membership_message &Message);
+  void handleProbe(const std::string &From, const membership_message &Message);
   std::vector<key_version> held(const std::vector<std::string> &Keys) const;
   std::string statusJson() const;
 
--- a/Services/Control/control_server.cpp
+++ b/Services/Control/control_server.cpp
@@ -6,8 +6,8 @@
   const auto Params = Context.getParams();
   const std::string Daemon = toString(Params.getDaemon());
   const duration Wait = std::chrono::milliseconds(Params.getWaitMs());
-  auto Batch = this->Daemon.handleChanges(
-      Daemon, Params.getEpoch(), Params.getSequence(), Wait);
+  auto Batch = this->Daemon.handleChanges(Daemon, Params.getEpoch(),
+                                          Params.getSequence(), Wait);
   return Batch.then([Context](change_batch Result) mutable {
     auto Answer = Context.getResults();
     Answer.setEpoch(Result.Epoch);
--- a/Services/Control/platform_watch.cpp
+++ b/Services/Control/platform_watch.cpp
@@ -57,9 +57,12 @@
     return;
   auto Held = View.Items.find(Name);
   const std::int64_t Base = Held == View.Items.end() ? 0 : Held->second.Version;
-  daemon_record Record{Settings.Instance,      Settings.Region,
-                       Settings.FailureDomain, Settings.Control.Listen,
-                       {},                     OperationId};
+  daemon_record Record{Settings.Instance,
+                       Settings.Region,
+                       Settings.FailureDomain,
+                       Settings.Control.Listen,
+                       {},
+                       OperationId};
   Loop.keep(handleUpdate({Name, 0, false, formatDaemon(Record)}, Base)
                 .ignoreResult());
 }
--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -24,9 +24,12 @@
 static link_identity identityOf(const instance_settings &Settings) {
   link_identity Identity;
   Identity.Key = objectKey(kinds::Entry, Settings.Instance);
-  Identity.Record = {Settings.Instance,      Settings.Region,
-                     Settings.FailureDomain, Settings.Entry.Listen,
-                     {},                     makeOperationId()};
+  Identity.Record = {Settings.Instance,
+                     Settings.Region,
+                     Settings.FailureDomain,
+                     Settings.Entry.Listen,
+                     {},
+                     makeOperationId()};
   return Identity;
 }
 
@@ -34,19 +37,18 @@
   entry_settings Node;
   Node.Region = Settings.Region;
   for (const auto &[Region, Ms] : Settings.LinkMs)
-    Node.LinkLatency[Region] =
-        duration(static_cast<std::int64_t>(Ms * 1'000));
+    Node.LinkLatency[Region] = duration(static_cast<std::int64_t>(Ms * 1'000));
   Node.Seed = std::random_device()();
   return Node;
 }
 
 entry_daemon::entry_daemon(const instance_settings &Settings)
     : Settings(Settings),
-      Control(Loop, Settings.Control.Listen, identityOf(Settings),
-              [this](const object_view &View,
-                     const std::set<std::string> &Down) {
-                applyView(View, Down);
-              }) {
+      Control(
+          Loop, Settings.Control.Listen, identityOf(Settings),
+          [this](const object_view &View, const std::set<std::string> &Down) {
+            applyView(View, Down);
+          }) {
   for (entry_shard &Shard : Shards)
     Shard.Node = makeEntry(nodeSettings(Settings));
 }
@@ -55,17 +57,15 @@
 
 result<bool> entry_daemon::start() {
   http_server_options Options;
-  Options.MaxConnections =
-      static_cast<unsigned>(Settings.Entry.MaxConnections);
+  Options.MaxConnections = static_cast<unsigned>(Settings.Entry.MaxConnections);
   Server = TRY(http_server::create(
       Settings.Entry.Listen,
       [this](http_head Head) -> std::unique_ptr<http_exchange> {
         return std::make_unique<caller_exchange>(*this, std::move(Head));
       },
       Options));
-  Metrics.gauge("amaranthhoist_requests_in_progress", [this] {
-    return static_cast<double>(InProgress.load());
-  });
+  Metrics.gauge("amaranthhoist_requests_in_progress",
+                [this] { return static_cast<double>(InProgress.load()); });
   Control.start();
   Timers.subscribe(TickPeriod, [this] { stepAll(entry_tick{}); });
   Timers.subscribe(OfferPeriod, [this] { Loop.run([this] { pollOffers(); }); });
@@ -168,14 +168,13 @@
     Held.UploadTaken = true;
     Request.getRequest().setSource(kj::heap<pipe_source>(Held.Upload));
   }
-  kj::Promise<capnp::Response<wire::Gateway::RunResults>> Call =
-      Request.send();
+  kj::Promise<capnp::Response<wire::Gateway::RunResults>> Call = Request.send();
   const duration Limit = Action.Deadline - currentInstant() + CallGrace;
   Held.Call =
       Loop.within(Limit, kj::mv(Call))
           .then(
-              [this, &Shard, Token](
-                  capnp::Response<wire::Gateway::RunResults> Response) {
+              [this, &Shard,
+               Token](capnp::Response<wire::Gateway::RunResults> Response) {
                 handleAnswer(Shard, Token, Response.getAnswer());
               },
               [this, &Shard, Token, Address](kj::Exception &&Exception) {
@@ -310,13 +309,15 @@
   for (const auto &[Instance, Gateway] : Gateways) {
     kj::Promise<capnp::Response<wire::Gateway::OffersResults>> Call =
         Loop.peer<wire::Gateway>(Gateway.first).offersRequest().send();
-    Loop.keep(Loop.within(OfferLimit, kj::mv(Call))
-                  .then(
-                      [this](capnp::Response<wire::Gateway::OffersResults>
-                                 Response) { hearOffers(Response.getOffers()); },
-                      [this, Address = Gateway.first](kj::Exception &&) {
-                        Loop.dropPeer(Address);
-                      }));
+    Loop.keep(
+        Loop.within(OfferLimit, kj::mv(Call))
+            .then(
+                [this](capnp::Response<wire::Gateway::OffersResults> Response) {
+                  hearOffers(Response.getOffers());
+                },
+                [this, Address = Gateway.first](kj::Exception &&) {
+                  Loop.dropPeer(Address);
+                }));
   }
 }
 
@@ -344,9 +345,9 @@
         {{"site", Offer.Site},
          {"gateway", Offer.Gateway},
          {"free_units", Offer.FreeUnits},
-         {"cost_us", offerCost(Offer, Customer, Preferred,
-                               Node.Settings.Routing, Now)
-                         .count()},
+         {"cost_us",
+          offerCost(Offer, Customer, Preferred, Node.Settings.Routing, Now)
+              .count()},
          {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                         Now - Offer.Heard)
                         .count()},
--- a/Services/Entry/entry_view.cpp
+++ b/Services/Entry/entry_view.cpp
@@ -91,9 +91,9 @@
   // Near ones first; within a region in an order of the client's own, so that
   // clients spread and each stays with its entry.
   const auto Rank = [&](const named_entry &Entry) {
-    return std::make_pair(Entry.Region != Settings.Region,
-                          stableHash(Client + "/" + Customer,
-                                     stableHash(Entry.Instance)));
+    return std::make_pair(
+        Entry.Region != Settings.Region,
+        stableHash(Client + "/" + Customer, stableHash(Entry.Instance)));
   };
   std::sort(Answer.Entries.begin(), Answer.Entries.end(),
             [&](const named_entry &Left, const named_entry &Right) {
--- a/Services/Gateway/gateway_daemon.cpp
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -22,19 +22,19 @@
 static link_identity identityOf(const instance_settings &Settings) {
   link_identity Identity;
   Identity.Key = objectKey(kinds::Gateway, Settings.Instance);
-  Identity.Record = {Settings.Instance,       Settings.Region,
-                     Settings.FailureDomain,  Settings.Gateway.Listen,
-                     Settings.Gateway.Sites,  makeOperationId()};
+  Identity.Record = {Settings.Instance,      Settings.Region,
+                     Settings.FailureDomain, Settings.Gateway.Listen,
+                     Settings.Gateway.Sites, makeOperationId()};
   return Identity;
 }
 
 gateway_daemon::gateway_daemon(const instance_settings &Settings)
     : Settings(Settings),
-      Control(Loop, Settings.Control.Listen, identityOf(Settings),
-              [this](const object_view &View,
-                     const std::set<std::string> &Down) {
-                applyView(View, Down);
-              }),
+      Control(
+          Loop, Settings.Control.Listen, identityOf(Settings),
+          [this](const object_view &View, const std::set<std::string> &Down) {
+            applyView(View, Down);
+          }),
       Workers(MaxWorkers) {}
 
 gateway_daemon::~gateway_daemon() { Timers.stop(); }
@@ -44,8 +44,8 @@
   // Bound before registering: the bound port proves that no earlier process of
   // this instance is left, which is what the new incarnation tells others.
   Loop.run([&] {
-    Listening = Loop.listen(Settings.Gateway.Listen,
-                            kj::heap<gateway_server>(*this));
+    Listening =
+        Loop.listen(Settings.Gateway.Listen, kj::heap<gateway_server>(*this));
   });
   TRY(std::move(Listening));
   if (!Settings.Gateway.MetricsListen.empty())
@@ -68,9 +68,8 @@
       step(*Shard, clock_tick{});
   });
   if (!Settings.Gateway.ProbePath.empty())
-    Timers.subscribe(
-        std::chrono::milliseconds(Settings.Gateway.ProbePeriodMs),
-        [this] { Workers.submit([this] { probeTargets(); }); });
+    Timers.subscribe(std::chrono::milliseconds(Settings.Gateway.ProbePeriodMs),
+                     [this] { Workers.submit([this] { probeTargets(); }); });
   return true;
 }
 
@@ -155,8 +154,7 @@
   // A later incarnation doesn't hold what the earlier one held.
   if (Found == Addresses.end() || Found->second.second != Name->Incarnation)
     return;
-  auto Request =
-      Loop.peer<wire::Gateway>(Found->second.first).deliverRequest();
+  auto Request = Loop.peer<wire::Gateway>(Found->second.first).deliverRequest();
   Request.setFrom(From);
   Request.setTo(Action.To);
   writePeerMessage(Action.Message, Request.initMessage());
@@ -166,13 +164,12 @@
 void gateway_daemon::writeRecord(node_shard &Shard,
                                  const write_record &Action) {
   const pool_record Proposed = Action.Proposed;
-  Control.update(objectKey(kinds::Pool, Shard.Node.Site.Name),
-                 formatPool(Proposed), Proposed.Version, false,
-                 [this, &Shard, Proposed](update_result Result,
-                                          std::int64_t Version) {
-                   step(Shard,
-                        record_update_answered{Proposed, Result, Version});
-                 });
+  Control.update(
+      objectKey(kinds::Pool, Shard.Node.Site.Name), formatPool(Proposed),
+      Proposed.Version, false,
+      [this, &Shard, Proposed](update_result Result, std::int64_t Version) {
+        step(Shard, record_update_answered{Proposed, Result, Version});
+      });
 }
 
 void gateway_daemon::sendToTarget(node_shard &Shard,
@@ -192,8 +189,8 @@
       [this, &Shard, Action, Payload] { runWork(Shard, Action, Payload); });
 }
 
-body_reader gateway_daemon::sourceReader(
-    const std::shared_ptr<request_payload> &Payload) {
+body_reader
+gateway_daemon::sourceReader(const std::shared_ptr<request_payload> &Payload) {
   if (!Payload->Source)
     return nullptr;
   return [this, Payload](std::span<char> Buffer) -> std::int64_t {
@@ -230,8 +227,11 @@
   exchange_result Result = runExchange(Clients, Request);
   // A streamed request body can't be read twice.
   const bool Consumed = Payload->Source.has_value();
-  target_ended Ended{Action.Token, Result.End, currentInstant() - Begin,
-                     Result.Streamed || Consumed, Result.Leaving,
+  target_ended Ended{Action.Token,
+                     Result.End,
+                     currentInstant() - Begin,
+                     Result.Streamed || Consumed,
+                     Result.Leaving,
                      std::move(Result.Answer)};
   step(Shard, Ended);
 }
--- a/Services/Gateway/gateway_daemon.h
+++ b/Services/Gateway/gateway_daemon.h
@@ -9,8 +9,8 @@
 #include "Rpc/rpc.h"
 #include "Settings/settings.h"
 #include "Timers/timers.h"
-#include "target_exchange.h"
 #include "Workers/workers.h"
+#include "target_exchange.h"
 
 #include <atomic>
 #include <map>
--- a/Services/Gateway/gateway_server.cpp
+++ b/Services/Gateway/gateway_server.cpp
@@ -55,15 +55,13 @@
   if (Answer.Rest)
     Builder.setRest(kj::heap<pipe_source>(Answer.Rest));
   Builder.setNoSuchNode(Answer.NoSuchNode);
-  writeOffers(Offers,
-              Builder.initOffers(static_cast<unsigned>(Offers.size())));
+  writeOffers(Offers, Builder.initOffers(static_cast<unsigned>(Offers.size())));
 }
 
 kj::Promise<void> gateway_server::run(RunContext Context) {
   const wire::WorkRequest::Reader Request = Context.getParams().getRequest();
   const std::string Node = toString(Request.getNode());
-  auto Answer =
-      Daemon.handleRun(Node, readWork(Request), readPayload(Request));
+  auto Answer = Daemon.handleRun(Node, readWork(Request), readPayload(Request));
   Context.releaseParams();
   // A dropped call means that the caller went away.
   Context.allowCancellation();
@@ -89,8 +87,7 @@
 
 kj::Promise<void> gateway_server::deliver(DeliverContext Context) {
   const auto Params = Context.getParams();
-  Daemon.handlePeerMessage(toString(Params.getFrom()),
-                           toString(Params.getTo()),
+  Daemon.handlePeerMessage(toString(Params.getFrom()), toString(Params.getTo()),
                            readPeerMessage(Params.getMessage()));
   return kj::READY_NOW;
 }
--- a/Services/Gateway/gateway_view.cpp
+++ b/Services/Gateway/gateway_view.cpp
@@ -33,9 +33,8 @@
     result<target_settings> Target = parseTarget(Item->Value);
     if (!Target || Target->Site != Site)
       continue;
-    const bool Drained =
-        std::find(Drains.Targets.begin(), Drains.Targets.end(),
-                  Target->Name) != Drains.Targets.end();
+    const bool Drained = std::find(Drains.Targets.begin(), Drains.Targets.end(),
+                                   Target->Name) != Drains.Targets.end();
     Target->Leaving = Target->Leaving || Drained;
     Targets.push_back(std::move(*Target));
   }
@@ -171,11 +170,11 @@
 static nlohmann::ordered_json resourceStatus(const gateway_node &Node,
                                              const std::string &Resource,
                                              const share &Share) {
-  return {{"granted", Share.Granted},
-          {"lent", Share.Lent},
-          {"used", Share.Used},
-          {"available",
-           availableUnits(Node.Budget, Resource, currentInstant())}};
+  return {
+      {"granted", Share.Granted},
+      {"lent", Share.Lent},
+      {"used", Share.Used},
+      {"available", availableUnits(Node.Budget, Resource, currentInstant())}};
 }
 
 std::string gateway_daemon::statusJson() {
--- a/Services/Gateway/target_exchange.h
+++ b/Services/Gateway/target_exchange.h
@@ -45,8 +45,8 @@
   const std::atomic<bool> *Abort = nullptr;
   /// Idempotent work: called when the answer is known to be long or slow, with
   /// its head, its first bytes and the pipe that brings the rest.
-  std::function<void(int Status, const http_headers &Headers,
-                     std::string First, std::shared_ptr<byte_pipe> Rest)>
+  std::function<void(int Status, const http_headers &Headers, std::string First,
+                     std::shared_ptr<byte_pipe> Rest)>
       OnStream;
 };
 
--- a/Utilities/BackendStandIn/backend_server.cpp
+++ b/Utilities/BackendStandIn/backend_server.cpp
@@ -182,13 +182,15 @@
                                                     std::string Body) {
   auto Work = std::make_shared<running_work>();
   Work->RequestId = headerOr(Head.Headers, "x-request-id");
-  Work->DeadlineMs = std::atoll(headerOr(Head.Headers, "x-deadline-ms").c_str());
+  Work->DeadlineMs =
+      std::atoll(headerOr(Head.Headers, "x-deadline-ms").c_str());
   Work->Name = Head.Path;
   std::int64_t SlowMs = 0;
   bool Draining = false;
   {
     const std::lock_guard Guard(Lock);
-    const bool Late = Work->DeadlineMs > 0 && currentWallMs() > Work->DeadlineMs;
+    const bool Late =
+        Work->DeadlineMs > 0 && currentWallMs() > Work->DeadlineMs;
     Draining = Faults.Draining && Faults.DrainingHeader;
     if (Faults.Shed || Late || Busy >= Options.Slots) {
       Overloads += Busy >= Options.Slots ? 1 : 0;
@@ -222,11 +224,11 @@
     while (currentWallMs() < End && !Work->Cancelled &&
            (Work->DeadlineMs == 0 || currentWallMs() < Work->DeadlineMs))
       std::this_thread::sleep_for(WorkStep);
-    Response->Body = json{{"path", Head.Path},
-                          {"target", Options.Name},
-                          {"key", headerOr(Head.Headers, "idempotency-key")},
-                          {"echo", Body}}
-                         .dump();
+    Response->Body = json{
+        {"path", Head.Path},
+        {"target", Options.Name},
+        {"key", headerOr(Head.Headers, "idempotency-key")},
+        {"echo", Body}}.dump();
     release(*Work, !Work->Cancelled);
     if (takeFault(&backend_faults::LoseAnswers))
       return cutConnection();
@@ -259,7 +261,8 @@
         std::min<std::int64_t>(Bytes - *Place, std::int64_t(Buffer.size()));
     if (DurationMs > 0) {
       // Evenly over its duration, in pieces.
-      Part = std::min<std::int64_t>(Part, std::max<std::int64_t>(1, Bytes / 50));
+      Part =
+          std::min<std::int64_t>(Part, std::max<std::int64_t>(1, Bytes / 50));
       const std::int64_t Due = StartMs + DurationMs * (*Place) / Bytes;
       const std::int64_t Now = currentWallMs();
       if (Due > Now)
--- a/Utilities/BackendStandIn/main.cpp
+++ b/Utilities/BackendStandIn/main.cpp
@@ -31,8 +31,9 @@
 
 int main(int ArgumentCount, char **Arguments) {
   if (ArgumentCount < 2) {
-    std::cerr << "usage: backend-stand-in "
-                 "NAME,IP:PORT,SLOTS,CONNECTIONS,WORK_MS,SLOT_MW,HAS_PROBE...\n";
+    std::cerr
+        << "usage: backend-stand-in "
+           "NAME,IP:PORT,SLOTS,CONNECTIONS,WORK_MS,SLOT_MW,HAS_PROBE...\n";
     return exit_codes::Usage;
   }
   blockStopSignals();
--- a/Utilities/Caller/caller.cpp
+++ b/Utilities/Caller/caller.cpp
@@ -19,11 +19,11 @@
             {"hold", "enquiry-desk", "POST", "/holds", true, 0, 0, 15},
             {"booking", "enquiry-desk", "POST", "/bookings", true, 0, 0, 10},
             {"download", "pack-store", "GET", "/packs", false, 300'000, 0, 15}};
-  return {{"open", "kernel-hub", "GET", "/notebooks", false, 0, 0, 40},
-          {"cell-rerun", "kernel-hub", "PUT", "/cells", false, 0, 0, 30},
-          {"job", "kernel-hub", "POST", "/jobs", true, 0, 0, 20},
-          {"export", "file-vault", "GET", "/exports", false, 1'000'000, 3'000,
-           10}};
+  return {
+      {"open", "kernel-hub", "GET", "/notebooks", false, 0, 0, 40},
+      {"cell-rerun", "kernel-hub", "PUT", "/cells", false, 0, 0, 30},
+      {"job", "kernel-hub", "POST", "/jobs", true, 0, 0, 20},
+      {"export", "file-vault", "GET", "/exports", false, 1'000'000, 3'000, 10}};
 }
 
 caller::caller(std::vector<std::string> Entries, std::string Customer,
@@ -50,7 +50,8 @@
     Lookup.Addresses.push_back(Item["address"].get<std::string>());
   Lookup.Home = Document["home"].get<std::string>();
   Lookup.GoodUntilMs =
-      currentWallMs() + std::min<std::int64_t>(Document["ttl_ms"].get<std::int64_t>(), 2'000);
+      currentWallMs() +
+      std::min<std::int64_t>(Document["ttl_ms"].get<std::int64_t>(), 2'000);
   return !Lookup.Addresses.empty();
 }
 
@@ -67,11 +68,12 @@
                               bool &BytesRight) {
   const lookup &Lookup = Lookups[Kind.Service];
   const std::string &Entry =
-      Lookup.Addresses[Turn++ % std::min<std::size_t>(2, Lookup.Addresses.size())];
+      Lookup.Addresses[Turn++ %
+                       std::min<std::size_t>(2, Lookup.Addresses.size())];
   http_call Call;
   Call.Method = Kind.Method;
-  Call.Url = "http://" + Entry + "/v1/run/" + Kind.Service + Kind.Path + "/" +
-             Id;
+  Call.Url =
+      "http://" + Entry + "/v1/run/" + Kind.Service + Kind.Path + "/" + Id;
   if (Kind.Bytes > 0)
     Call.Url += "?bytes=" + std::to_string(Kind.Bytes) +
                 "&duration_ms=" + std::to_string(Kind.DurationMs);
@@ -138,8 +140,7 @@
     const instant Begin = currentInstant();
     std::int64_t BytesSeen = 0;
     bool BytesRight = true;
-    const http_call_result Result =
-        send(Kind, Id, Key, BytesSeen, BytesRight);
+    const http_call_result Result = send(Kind, Id, Key, BytesSeen, BytesRight);
     const double Took =
         std::chrono::duration<double, std::milli>(currentInstant() - Begin)
             .count();
@@ -154,12 +155,11 @@
       if (Outcome == "broken" && Kind.Bytes > 0) {
         ++Report.Truncated;
         Report.Notes.push_back(Kind.Name + " " + Id + " cut after " +
-                               std::to_string(BytesSeen) + " bytes: " +
-                               Result.Error);
+                               std::to_string(BytesSeen) +
+                               " bytes: " + Result.Error);
       }
-      const bool Right = Kind.Bytes > 0
-                             ? BytesRight && BytesSeen == Kind.Bytes
-                             : contentIsRight(Kind, Id, Result);
+      const bool Right = Kind.Bytes > 0 ? BytesRight && BytesSeen == Kind.Bytes
+                                        : contentIsRight(Kind, Id, Result);
       if (Outcome == "answered" && !Right) {
         ++Report.Wrong;
         Report.Notes.push_back(Kind.Name + " " + Id + " wrong: status " +
--- a/Utilities/Caller/caller.h
+++ b/Utilities/Caller/caller.h
@@ -94,8 +94,9 @@
   std::size_t Turn = 0;
 };
 
-/// Compares what callers were told with what stand-ins executed; prints; returns
-/// whether nothing was lost, doubled, truncated or run against its word.
+/// Compares what callers were told with what stand-ins executed; prints;
+/// returns whether nothing was lost, doubled, truncated or run against its
+/// word.
 bool checkAndPrint(caller_report &Report,
                    const std::vector<std::string> &Backends);
 
--- a/Utilities/Caller/check.cpp
+++ b/Utilities/Caller/check.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-static execution_count countExecutions(const std::vector<std::string> &Backends) {
+static execution_count
+countExecutions(const std::vector<std::string> &Backends) {
   execution_count Count;
   http_client Client;
   for (const std::string &Backend : Backends) {
@@ -43,8 +44,8 @@
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
-  const auto Place = static_cast<std::size_t>(
-      Part * static_cast<double>(Values.size() - 1));
+  const auto Place =
+      static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1));
   return Values[Place];
 }
 
--- a/Utilities/amaranthhoist/context.cpp
+++ b/Utilities/amaranthhoist/context.cpp
@@ -210,8 +210,8 @@
   const std::int64_t Base = Context.Base >= 0 ? Context.Base : Known;
   const std::string Operation = newOperationId();
   const std::string Stamped = Deleted ? "" : stamped(Value, Operation);
-  result<std::int64_t> Version = Deleted ? Client.remove(Key, Base)
-                                         : Client.put(Key, Stamped, Base);
+  result<std::int64_t> Version =
+      Deleted ? Client.remove(Key, Base) : Client.put(Key, Stamped, Base);
   if (!Version && Version.error().Code == error_code::Uncertain && !Deleted)
     Version = settleUncertain(Client, Key, Operation);
   if (!Version && Version.error().Code == error_code::Conflict) {
--- a/Utilities/amaranthhoist/contract_commands.cpp
+++ b/Utilities/amaranthhoist/contract_commands.cpp
@@ -43,8 +43,8 @@
   const contract Contract = TRY(parseContract(Text));
   fleet_client Fleet(Context.Controls);
   const std::string Key = objectKey(kinds::Contract, Contract.Customer);
-  const std::int64_t Version = TRY(
-      writeObject(Context, Fleet, Key, formatContract(Contract), false));
+  const std::int64_t Version =
+      TRY(writeObject(Context, Fleet, Key, formatContract(Contract), false));
   return reportAccepted(Context, Fleet, Key, Version);
 }
 
@@ -53,8 +53,7 @@
     return fail(error_code::Invalid, "usage: contract delete CUSTOMER");
   fleet_client Fleet(Context.Controls);
   const std::string Key = objectKey(kinds::Contract, Context.Words[1]);
-  const std::int64_t Version =
-      TRY(writeObject(Context, Fleet, Key, "", true));
+  const std::int64_t Version = TRY(writeObject(Context, Fleet, Key, "", true));
   return reportAccepted(Context, Fleet, Key, Version);
 }
 
@@ -95,9 +94,9 @@
   if (Context.Output == output_format::Json)
     std::cout << All.dump(2) << "\n";
   else
-    printTable({"CUSTOMER", "VERSION", "RPS", "CONCURRENCY", "PRIORITY",
-                "WEIGHT"},
-               Rows);
+    printTable(
+        {"CUSTOMER", "VERSION", "RPS", "CONCURRENCY", "PRIORITY", "WEIGHT"},
+        Rows);
   return true;
 }
 
@@ -107,8 +106,7 @@
   const std::string Text = TRY(readFile(Context.Words[1]));
   const contract Ours = TRY(parseContract(Text));
   platform_client Client(Context.Platform);
-  const item Item =
-      TRY(Client.get(objectKey(kinds::Contract, Ours.Customer)));
+  const item Item = TRY(Client.get(objectKey(kinds::Contract, Ours.Customer)));
   const contract Theirs = TRY(parseContract(Item.Value));
   const json Left = json::parse(formatContract(Ours));
   const json Right = json::parse(formatContract(Theirs));
--- a/Utilities/amaranthhoist/fleet_commands.cpp
+++ b/Utilities/amaranthhoist/fleet_commands.cpp
@@ -162,9 +162,9 @@
                       Member.value("address", ""),
                       Member.value("up", false) ? "up" : "suspected"});
     }
-  printTable({"INSTANCE", "DAEMON", "REGION", "FAILURE DOMAIN", "ADDRESS",
-              "STATE"},
-             Rows);
+  printTable(
+      {"INSTANCE", "DAEMON", "REGION", "FAILURE DOMAIN", "ADDRESS", "STATE"},
+      Rows);
   return true;
 }
 
@@ -238,10 +238,8 @@
       if (Whole)
         Count += Node["in_progress"].get<std::int64_t>();
       else if (Drain.Subject == drain_subject::Target &&
-               Node.contains("targets") &&
-               Node["targets"].contains(Drain.Name))
-        Count +=
-            Node["targets"][Drain.Name]["in_flight"].get<std::int64_t>();
+               Node.contains("targets") && Node["targets"].contains(Drain.Name))
+        Count += Node["targets"][Drain.Name]["in_flight"].get<std::int64_t>();
     }
   }
   return Count;
@@ -300,8 +298,9 @@
   for (const auto &Entry : TRY(Fleet.members(kinds::Entry))) {
     http_client Client;
     http_call Call;
-    Call.Url = "http://" + Entry.Address + "/v1/explain?customer=" +
-               Context.Words[0] + "&service=" + Context.Words[1];
+    Call.Url = "http://" + Entry.Address +
+               "/v1/explain?customer=" + Context.Words[0] +
+               "&service=" + Context.Words[1];
     Call.TimeoutMs = 2'000;
     const http_call_result Result = Client.call(Call);
     if (Result.End != call_end::Complete || Result.Status != 200)
--- a/Utilities/amaranthhoist/main.cpp
+++ b/Utilities/amaranthhoist/main.cpp
@@ -49,9 +49,8 @@
       cxxopts::value<std::int64_t>()->default_value("10000"))(
       "base", "version that the change is based on",
       cxxopts::value<std::int64_t>()->default_value("-1"))(
-      "force", "start a drain that doesn't fit")("version",
-                                                 "print the version")(
-      "h,help", "print this help")(
+      "force", "start a drain that doesn't fit")(
+      "version", "print the version")("h,help", "print this help")(
       "words", "", cxxopts::value<std::vector<std::string>>());
   Options.parse_positional({"words"});
   Options.positional_help("COMMAND ...");
--- a/Utilities/quickstart.sh
+++ b/Utilities/quickstart.sh
@@ -31,7 +31,7 @@
   for pid in "${pids[@]:-}"; do [ -z "$pid" ] || kill "$pid" 2>/dev/null || true; done
   sleep 0.2
   for pid in "${pids[@]:-}"; do [ -z "$pid" ] || kill -9 "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
+  [ -n "${KEEP:-}" ] && echo "logs kept in $work" || rm -rf "$work"
 }
 trap finish EXIT
 
