--- a/Libraries/ControlLink/control_link.cpp
+++ b/Libraries/ControlLink/control_link.cpp
@@ -81,7 +81,7 @@
 
 void control_link::update(const std::string &Key, const std::string &Value,
                           std::int64_t BaseVersion, bool Deleted,
-                          update_listener OnAnswer) {
+                          const update_listener &OnAnswer) {
   auto Request = Loop.peer<wire::Control>(Address).updateRequest();
   Request.setKey(Key);
   Request.setValue(Value);
--- a/Libraries/ControlLink/control_link.h
+++ b/Libraries/ControlLink/control_link.h
@@ -37,7 +37,8 @@
 
   /// Sends a conditional update. On the loop's thread only.
   void update(const std::string &Key, const std::string &Value,
-              std::int64_t BaseVersion, bool Deleted, update_listener Listener);
+              std::int64_t BaseVersion, bool Deleted,
+              const update_listener &OnAnswer);
 
   /// The incarnation of this daemon, or 0 until it is registered. On the loop's
   /// thread only.
--- a/Libraries/Core/core.h
+++ b/Libraries/Core/core.h
@@ -17,7 +17,8 @@
   using period = std::micro;
   using duration = std::chrono::microseconds;
   using time_point = std::chrono::time_point<logical_clock, duration>;
-  static constexpr bool is_steady = true;
+  // Named by the standard's requirements on clocks.
+  static constexpr bool is_steady = true; // NOLINT
 };
 
 /// A moment on the monotonic clock of one process, in microseconds.
--- a/Libraries/Gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/node.h"
 
 #include <algorithm>
+#include <set>
 
 namespace amaranthhoist {
 
@@ -51,17 +52,13 @@
 /// work has ended, or its slots would be free before that.
 static void dropAbsent(gateway_node &Node,
                        const std::vector<target_settings> &Listed) {
-  for (auto &[Name, Target] : Node.Targets) {
-    const bool Present =
-        std::any_of(Listed.begin(), Listed.end(),
-                    [&](const auto &Item) { return Item.Name == Name; });
-    Target.Leaving = Target.Leaving || !Present;
-  }
+  std::set<std::string> Present;
+  for (const target_settings &Target : Listed)
+    Present.insert(Target.Name);
+  for (auto &[Name, Target] : Node.Targets)
+    Target.Leaving = Target.Leaving || !Present.contains(Name);
   std::erase_if(Node.Targets, [&](const auto &Entry) {
-    const bool Present =
-        std::any_of(Listed.begin(), Listed.end(),
-                    [&](const auto &Item) { return Item.Name == Entry.first; });
-    return !Present && Entry.second.InFlight == 0;
+    return !Present.contains(Entry.first) && Entry.second.InFlight == 0;
   });
 }
 
--- a/Libraries/Http/client.cpp
+++ b/Libraries/Http/client.cpp
@@ -106,8 +106,11 @@
 static curl_slist *makeHeaders(const http_call &Call) {
   // No "Expect: 100-continue": it costs a round trip.
   curl_slist *List = curl_slist_append(nullptr, "Expect:");
-  for (const auto &[Name, Value] : Call.Headers)
-    List = curl_slist_append(List, (Name + ": " + Value).c_str());
+  std::string Line;
+  for (const auto &[Name, Value] : Call.Headers) {
+    Line.assign(Name).append(": ").append(Value);
+    List = curl_slist_append(List, Line.c_str());
+  }
   return List;
 }
 
--- a/Libraries/Metrics/metrics.h
+++ b/Libraries/Metrics/metrics.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
 
 namespace amaranthhoist {
 
@@ -31,7 +32,10 @@
   std::string Customer;
   std::string Service;
   std::string Outcome;
-  auto operator<=>(const latency_labels &) const = default;
+  bool operator<(const latency_labels &Other) const {
+    return std::tie(Customer, Service, Outcome) <
+           std::tie(Other.Customer, Other.Service, Other.Outcome);
+  }
 };
 
 /// All metrics of one process. Sharded by customer, each shard with its own
--- a/Libraries/Routing/routing.cpp
+++ b/Libraries/Routing/routing.cpp
@@ -63,6 +63,7 @@
   if (Ranked.size() < 2)
     return Ranked;
   std::vector<double> Weights;
+  Weights.reserve(Ranked.size());
   for (const offer &Offer : Ranked)
     Weights.push_back(drawWeight(Offer, Policy, Now));
   std::discrete_distribution<std::size_t> Draw(Weights.begin(), Weights.end());
--- a/Libraries/Rpc/rpc.cpp
+++ b/Libraries/Rpc/rpc.cpp
@@ -17,6 +17,8 @@
   kj::Own<kj::AsyncIoStream> Stream;
   kj::Own<capnp::TwoPartyClient> Client;
   std::optional<capnp::Capability::Client> Main;
+  /// Tells this connection from a later one to the same address.
+  std::uint64_t Number = 0;
 };
 
 rpc_loop::rpc_loop() {
@@ -87,6 +89,8 @@
     return *Found->second->Main;
   auto Fresh = std::make_unique<connection>();
   connection *Raw = Fresh.get();
+  const std::uint64_t Number = NextConnection++;
+  Raw->Number = Number;
   Connections[Address] = std::move(Fresh);
   auto Connecting = Io->getNetwork().parseAddress(Address).then(
       [](kj::Own<kj::NetworkAddress> Parsed) {
@@ -96,25 +100,27 @@
   auto Ready =
       within(ConnectLimit, kj::mv(Connecting))
           .then(
-              [this, Raw, Address](kj::Own<kj::AsyncIoStream> Stream)
+              [this, Raw, Number, Address](kj::Own<kj::AsyncIoStream> Stream)
                   -> capnp::Capability::Client {
                 auto Held = Connections.find(Address);
-                if (Held == Connections.end() || Held->second.get() != Raw)
-                  KJ_FAIL_REQUIRE("connection dropped");
+                if (Held == Connections.end() || Held->second->Number != Number)
+                  kj::throwFatalException(
+                      KJ_EXCEPTION(DISCONNECTED, "connection dropped"));
                 Raw->Stream = kj::mv(Stream);
                 Raw->Client = kj::heap<capnp::TwoPartyClient>(*Raw->Stream);
-                keep(Raw->Client->onDisconnect().then([this, Raw, Address] {
-                  auto Current = Connections.find(Address);
-                  if (Current != Connections.end() &&
-                      Current->second.get() == Raw)
-                    dropPeer(Address);
-                }));
+                keep(Raw->Client->onDisconnect().then(
+                    [this, Raw, Number, Address] {
+                      auto Current = Connections.find(Address);
+                      if (Current != Connections.end() &&
+                          Current->second->Number == Number)
+                        dropPeer(Address);
+                    }));
                 return Raw->Client->bootstrap();
               },
-              [this, Raw, Address](
+              [this, Raw, Number, Address](
                   kj::Exception &&Exception) -> capnp::Capability::Client {
                 auto Held = Connections.find(Address);
-                if (Held != Connections.end() && Held->second.get() == Raw)
+                if (Held != Connections.end() && Held->second->Number == Number)
                   Connections.erase(Held);
                 kj::throwFatalException(kj::mv(Exception));
               });
--- a/Libraries/Rpc/rpc.h
+++ b/Libraries/Rpc/rpc.h
@@ -66,6 +66,7 @@
   void serve();
 
   std::map<std::string, std::unique_ptr<connection>> Connections;
+  std::uint64_t NextConnection = 1;
   std::unique_ptr<kj::TaskSet> Tasks;
   kj::AsyncIoProvider *Io = nullptr;
   kj::Timer *Timer = nullptr;
--- a/Libraries/Settings/settings.cpp
+++ b/Libraries/Settings/settings.cpp
@@ -34,9 +34,9 @@
 /// Reads the fields of one mapping, noting faults and unknown fields.
 class section_reader {
 public:
-  section_reader(YAML::Node Node, std::string Prefix,
+  section_reader(const YAML::Node &Node, std::string Prefix,
                  std::vector<settings_fault> &Faults)
-      : Node(std::move(Node)), Prefix(std::move(Prefix)), Faults(Faults) {}
+      : Node(Node), Prefix(std::move(Prefix)), Faults(Faults) {}
 
   /// A name: used in keys and ids, so it has letters, digits and '-' only.
   void readName(const char *Field, std::string &Value) {
--- a/Services/Control/control_daemon.cpp
+++ b/Services/Control/control_daemon.cpp
@@ -82,7 +82,8 @@
   return Found == Records.end() ? Member : Found->second.Address;
 }
 
-void control_daemon::send(std::vector<outgoing_replica_message> Messages) {
+void control_daemon::send(
+    const std::vector<outgoing_replica_message> &Messages) {
   for (const outgoing_replica_message &Message : Messages) {
     auto Request =
         Loop.peer<wire::Control>(addressOf(Message.To)).replicateRequest();
@@ -95,7 +96,8 @@
   }
 }
 
-void control_daemon::send(std::vector<outgoing_membership_message> Messages) {
+void control_daemon::send(
+    const std::vector<outgoing_membership_message> &Messages) {
   for (const outgoing_membership_message &Message : Messages) {
     auto Request =
         Loop.peer<wire::Control>(addressOf(Message.To)).probeRequest();
@@ -258,7 +260,7 @@
   std::vector<item> Fresh;
   auto Messages = applyItems(Replica, Items, Fresh);
   applied(Fresh);
-  send(std::move(Messages));
+  send(Messages);
 }
 
 void control_daemon::handleReplica(const std::string &From,
@@ -266,7 +268,7 @@
   std::vector<item> Fresh;
   auto Messages = handleReplicaMessage(Replica, From, Message, Fresh);
   applied(Fresh);
-  send(std::move(Messages));
+  send(Messages);
 }
 
 void control_daemon::handleProbe(const std::string &From,
--- a/Services/Control/control_daemon.h
+++ b/Services/Control/control_daemon.h
@@ -60,8 +60,8 @@
 
 private:
   void applied(const std::vector<item> &Items);
-  void send(std::vector<outgoing_replica_message> Messages);
-  void send(std::vector<outgoing_membership_message> Messages);
+  void send(const std::vector<outgoing_replica_message> &Messages);
+  void send(const std::vector<outgoing_membership_message> &Messages);
   std::string addressOf(const std::string &Member) const;
   void refreshMembers();
   void refreshOwnMembers();
--- a/Services/Entry/caller_exchange.cpp
+++ b/Services/Entry/caller_exchange.cpp
@@ -124,7 +124,7 @@
     Path = "/";
   char Separator = '?';
   for (const auto &[Name, Value] : Head.Query) {
-    Path += Separator + Name + "=" + Value;
+    Path.append(1, Separator).append(Name).append("=").append(Value);
     Separator = '&';
   }
   return Path;
@@ -241,7 +241,7 @@
 }
 
 static body_reader restReader(entry_daemon &Daemon,
-                              std::shared_ptr<entry_request> Request) {
+                              const std::shared_ptr<entry_request> &Request) {
   auto Given = std::make_shared<std::size_t>(0);
   return [&Daemon, Request, Given](std::span<char> Buffer) -> std::int64_t {
     const std::string &First = Request->Answer.Body;
--- a/Services/Gateway/gateway_server.cpp
+++ b/Services/Gateway/gateway_server.cpp
@@ -65,7 +65,7 @@
   Context.releaseParams();
   // A dropped call means that the caller went away.
   Context.allowCancellation();
-  return Answer.then([this, Context](gateway_answer Result) mutable {
+  return Answer.then([this, Context](const gateway_answer &Result) mutable {
     writeAnswer(Result, Daemon.offers(), Context.getResults().initAnswer());
   });
 }
@@ -73,7 +73,7 @@
 kj::Promise<void> gateway_server::seal(SealContext Context) {
   auto Answer = Daemon.handleSeal(toString(Context.getParams().getNode()),
                                   toString(Context.getParams().getKey()));
-  return Answer.then([Context](gateway_answer Result) mutable {
+  return Answer.then([Context](const gateway_answer &Result) mutable {
     writeAnswer(Result, {}, Context.getResults().initAnswer());
   });
 }
