Control, Entry, Gateway: work per change no longer grows with the fleet

Cause: each batch of changes re-parsed every daemon's object, compared member lists pairwise, and entries asked every gateway for offers twice a second; at 1,900 nodes that is all-to-all. Now changes are applied by kind, membership looks only at what changes, three gateways are asked per period, oldest first. Pool updates that fail pause, doubling, spread by holder, so that a platform that comes back isn't met by all at once.

--- a/Libraries/Budget/budget.cpp
+++ b/Libraries/Budget/budget.cpp
@@ -5,6 +5,10 @@
 
 namespace amaranthhoist {
 
+/// Pauses between updates that weren't written.
+static constexpr duration FirstPause = std::chrono::milliseconds(25);
+static constexpr duration LastPause = std::chrono::seconds(10);
+
 static std::int64_t amountOf(const amounts &Amounts, const std::string &Name) {
   auto Found = Amounts.find(Name);
   return Found == Amounts.end() ? 0 : Found->second;
@@ -154,6 +158,8 @@
 planUpdate(budget_holder &Holder, const budget_timing &Timing, instant Now) {
   const std::set<std::string> Gone = reclaimable(Holder, Timing, Now);
   forgetLoansOfDead(Holder, Gone);
+  if (Now < Holder.NextUpdate)
+    return std::nullopt;
   if (Holder.Pending) {
     if (!std::exchange(Holder.Pending->Repeat, false))
       return std::nullopt;
@@ -198,15 +204,29 @@
   return Next;
 }
 
+/// Doubles from FirstPause to LastPause; the second half is the holder's own.
+static duration pauseAfter(const budget_holder &Holder, std::int32_t Failures) {
+  const duration Whole =
+      std::min(LastPause, FirstPause * (1 << std::min(Failures, 10)));
+  const auto Half = static_cast<std::uint64_t>(Whole.count() / 2);
+  const std::uint64_t Own =
+      stableHash(Holder.Self, static_cast<std::uint64_t>(Failures)) % Half;
+  return duration(static_cast<std::int64_t>(Half + Own));
+}
+
 void updateAnswered(budget_holder &Holder, const pool_record &Proposed,
-                    update_result Result, std::int64_t NewVersion) {
+                    update_result Result, std::int64_t NewVersion,
+                    instant Now) {
   // Conflict: a newer version exists and will be observed. Uncertain: the
   // write may take effect at any time, so the lower of both grants holds until
   // a newer version is seen.
   if (Result == update_result::Uncertain && Holder.Pending)
     Holder.Pending->Repeat = true;
-  if (Result != update_result::Written)
+  if (Result != update_result::Written) {
+    Holder.NextUpdate = Now + pauseAfter(Holder, ++Holder.FailedUpdates);
     return;
+  }
+  Holder.FailedUpdates = 0;
   pool_record Written = Proposed;
   Written.Version = NewVersion;
   observeRecord(Holder, Written);
--- a/Libraries/Budget/budget.h
+++ b/Libraries/Budget/budget.h
@@ -91,6 +91,9 @@
   /// Holders proved dead, with the time this was learned here.
   std::map<std::string, instant> Dead;
   std::optional<pending_update> Pending;
+  /// Updates in a row that weren't written, and when the next may be sent.
+  std::int32_t FailedUpdates = 0;
+  instant NextUpdate{};
   std::uint64_t NextLoan = 1;
 };
 
@@ -145,9 +148,11 @@
   Uncertain,
 };
 
-/// Takes in the answer to a conditional update of \p Proposed.
+/// Takes in the answer to a conditional update of \p Proposed. One that wasn't
+/// written is followed by a pause that doubles and differs from holder to
+/// holder, so that a platform which comes back isn't met by all at once.
 void updateAnswered(budget_holder &Holder, const pool_record &Proposed,
-                    update_result Result, std::int64_t NewVersion);
+                    update_result Result, std::int64_t NewVersion, instant Now);
 
 /// A message between two holders of a pool.
 struct loan_message {
--- a/Libraries/ControlLink/control_link.cpp
+++ b/Libraries/ControlLink/control_link.cpp
@@ -3,6 +3,8 @@
 #include "Logging/logging.h"
 #include "Protocol/protocol.h"
 
+#include <algorithm>
+
 namespace amaranthhoist {
 
 static constexpr std::uint32_t PollWaitMs = 2'000;
@@ -34,12 +36,7 @@
                   -> kj::Promise<void> {
                 Epoch = Response.getEpoch();
                 Sequence = Response.getSequence();
-                updateView(View, readItems(Response.getItems()));
-                Down.clear();
-                for (const capnp::Text::Reader Name : Response.getDown())
-                  Down.insert(toString(Name));
-                registerIfNeeded();
-                Listener(View, Down);
+                takeIn(Response);
                 poll();
                 return kj::READY_NOW;
               },
@@ -50,6 +47,32 @@
               }));
 }
 
+void control_link::takeIn(wire::Control::ChangesResults::Reader Response) {
+  const std::vector<item> Items = readItems(Response.getItems());
+  std::set<std::string> Now;
+  for (const capnp::Text::Reader Name : Response.getDown())
+    Now.insert(toString(Name));
+  const bool DownChanged = Now != Down;
+  Down = std::move(Now);
+  updateView(View, Items);
+  registerIfNeeded();
+  if (!Items.empty() || DownChanged)
+    Listener({View, Items, Down, DownChanged});
+}
+
+void control_link::announceAll() {
+  std::vector<item> Items;
+  for (const auto &[Key, Item] : View.Items)
+    Items.push_back(Item);
+  Listener({View, Items, Down, true});
+}
+
+bool view_change::touches(std::string_view Kind) const {
+  return std::any_of(Items.begin(), Items.end(), [&](const item &Item) {
+    return splitKey(Item.Key).Kind == Kind;
+  });
+}
+
 void control_link::registerIfNeeded() {
   if (Identity.Key.empty() || Incarnation != 0 || Writing || Leaving)
     return;
@@ -60,6 +83,7 @@
     const result<daemon_record> Record = parseDaemon(Held->second.Value);
     if (Record && Record->OperationId == Identity.Record.OperationId) {
       Incarnation = Base;
+      announceAll();
       return;
     }
   }
@@ -75,7 +99,7 @@
            logLine(log_level::Info, "registered",
                    {{"key", Identity.Key},
                     {"incarnation", std::to_string(Version)}});
-           Listener(View, Down);
+           announceAll();
          });
 }
 
--- a/Libraries/ControlLink/control_link.h
+++ b/Libraries/ControlLink/control_link.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Objects/objects.h"
+#include "Protocol/protocol.capnp.h"
 #include "Rpc/rpc.h"
 
 #include <functional>
@@ -13,9 +14,20 @@
 
 namespace amaranthhoist {
 
+/// One batch of changes.
+struct view_change {
+  const object_view &View;
+  /// What changed; everything after a registration or a restarted control.
+  const std::vector<item> &Items;
+  /// Daemons that are suspected or down, by object key.
+  const std::set<std::string> &Down;
+  bool DownChanged = false;
+  /// Whether the items include any of \p Kind.
+  bool touches(std::string_view Kind) const;
+};
+
 /// Called on the loop's thread after each batch of changes.
-using view_listener = std::function<void(const object_view &View,
-                                         const std::set<std::string> &Down)>;
+using view_listener = std::function<void(const view_change &Change)>;
 /// Called on the loop's thread with the answer to a write.
 using update_listener =
     std::function<void(update_result Result, std::int64_t Version)>;
@@ -49,7 +61,9 @@
 
 private:
   void poll();
+  void takeIn(wire::Control::ChangesResults::Reader Response);
   void registerIfNeeded();
+  void announceAll();
 
   rpc_loop &Loop;
   std::string Address;
--- a/Libraries/Gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway.cpp
@@ -100,7 +100,7 @@
     gateway::pumpAll(Node, Moment, Actions);
   }
   void operator()(const record_update_answered &Event) const {
-    updateAnswered(Node.Budget, Event.Proposed, Event.Result, Event.NewVersion);
+    updateAnswered(Node.Budget, Event.Proposed, Event.Result, Event.NewVersion, Moment.Now);
     gateway::pumpAll(Node, Moment, Actions);
   }
   void operator()(const site_changed &Event) const {
--- a/Libraries/Membership/membership.cpp
+++ b/Libraries/Membership/membership.cpp
@@ -7,9 +7,12 @@
 using messages = std::vector<outgoing_membership_message>;
 using kind = membership_message::kind;
 
-void setMembers(membership &Membership, const std::vector<std::string> &Names) {
+void setMembers(membership &Membership, const std::set<std::string> &Names) {
   std::erase_if(Membership.Members, [&](const auto &Entry) {
-    return std::find(Names.begin(), Names.end(), Entry.first) == Names.end();
+    return !Names.contains(Entry.first);
+  });
+  std::erase_if(Membership.NotUp, [&](const std::string &Name) {
+    return !Names.contains(Name);
   });
   for (const std::string &Name : Names)
     if (!Membership.Own.contains(Name))
@@ -30,9 +33,14 @@
     Own.RepeatsLeft = Membership.Policy.BeliefRepeats;
     Membership.Own.try_emplace(Name, Own);
     Membership.Members.erase(Name);
+    Membership.NotUp.erase(Name);
   }
 }
 
+const std::set<std::string> &downMembers(const membership &Membership) {
+  return Membership.NotUp;
+}
+
 bool isUp(const membership &Membership, const std::string &Name) {
   if (Membership.Own.contains(Name))
     return true;
@@ -41,12 +49,17 @@
          Found->second.Status == member_status::Up;
 }
 
-static void change(membership &Membership, member_state &Member,
-                   member_status Status, instant Now) {
+static void change(membership &Membership, const std::string &Name,
+                   member_state &Member, member_status Status, instant Now) {
   if (Status == member_status::Suspect)
     Member.SuspectSince = Now;
+  if (Status == member_status::Up)
+    Membership.NotUp.erase(Name);
+  else
+    Membership.NotUp.insert(Name);
   Member.Status = Status;
   Member.RepeatsLeft = Membership.Policy.BeliefRepeats;
+  Membership.Changing.insert(Name);
 }
 
 static std::vector<member_belief> beliefsToSend(membership &Membership) {
@@ -57,13 +70,23 @@
     --Own.RepeatsLeft;
     Beliefs.push_back({Name, member_status::Up, Own.Counter});
   }
-  for (auto &[Name, Member] : Membership.Members) {
-    if (Beliefs.size() >= Membership.Policy.MaxBeliefsPerMessage)
-      break;
-    if (Member.RepeatsLeft <= 0)
+  for (auto Name = Membership.Changing.begin();
+       Name != Membership.Changing.end() &&
+       Beliefs.size() < Membership.Policy.MaxBeliefsPerMessage;) {
+    auto Member = Membership.Members.find(*Name);
+    const bool Rests = Member == Membership.Members.end() ||
+                       (Member->second.RepeatsLeft <= 0 &&
+                        Member->second.Status != member_status::Suspect);
+    if (Rests) {
+      Name = Membership.Changing.erase(Name);
       continue;
-    --Member.RepeatsLeft;
-    Beliefs.push_back({Name, Member.Status, Member.Counter});
+    }
+    if (Member->second.RepeatsLeft > 0) {
+      --Member->second.RepeatsLeft;
+      Beliefs.push_back(
+          {*Name, Member->second.Status, Member->second.Counter});
+    }
+    ++Name;
   }
   return Beliefs;
 }
@@ -95,7 +118,7 @@
   if (!Newer)
     return;
   Member.Counter = Belief.Counter;
-  change(Membership, Member, Belief.Status, Now);
+  change(Membership, Belief.Name, Member, Belief.Status, Now);
 }
 
 /// An answer of its own is better than any rumour: whoever answers is up.
@@ -107,7 +130,7 @@
     return;
   // One higher than the rumour, so that it wins everywhere.
   ++Found->second.Counter;
-  change(Membership, Found->second, member_status::Up, Now);
+  change(Membership, Name, Found->second, member_status::Up, Now);
 }
 
 messages handleMembershipMessage(membership &Membership,
@@ -154,16 +177,29 @@
   return Membership.Members.contains(Subject) ? Subject : std::string();
 }
 
-static void probeThroughOthers(membership &Membership, messages &Messages) {
+/// A few random members that are up, found by starting at random places.
+static std::vector<std::string> pickHelpers(membership &Membership) {
   std::vector<std::string> Helpers;
-  for (const auto &[Name, Member] : Membership.Members)
-    if (Member.Status == member_status::Up && Name != Membership.Probe.Subject)
-      Helpers.push_back(Name);
-  std::shuffle(Helpers.begin(), Helpers.end(), Membership.Random);
-  Helpers.resize(std::min(Helpers.size(), Membership.Policy.IndirectProbes));
-  for (const std::string &Helper : Helpers)
-    Messages.push_back(
-        make(Membership, Helper, kind::PingFor, Membership.Probe.Subject, {}));
+  const std::size_t Size = Membership.Members.size();
+  const std::size_t Tries = 4 * Membership.Policy.IndirectProbes;
+  for (std::size_t Try = 0;
+       Try < Tries && Helpers.size() < Membership.Policy.IndirectProbes;
+       ++Try) {
+    auto Member = Membership.Members.begin();
+    std::advance(Member, static_cast<long>(Membership.Random() % Size));
+    const bool Usable = Member->second.Status == member_status::Up &&
+                        Member->first != Membership.Probe.Subject;
+    if (Usable && std::find(Helpers.begin(), Helpers.end(), Member->first) ==
+                      Helpers.end())
+      Helpers.push_back(Member->first);
+  }
+  return Helpers;
+}
+
+static void probeThroughOthers(membership &Membership, messages &Messages) {
+  for (const std::string &Helper : pickHelpers(Membership))
+    Messages.push_back(make(Membership, Helper, kind::PingFor,
+                            Membership.Probe.Subject, {}));
 }
 
 static void escalate(membership &Membership, instant Now, messages &Messages) {
@@ -179,16 +215,23 @@
   auto Found = Membership.Members.find(Probe.Subject);
   if (Found != Membership.Members.end() &&
       Found->second.Status == member_status::Up)
-    change(Membership, Found->second, member_status::Suspect, Now);
+    change(Membership, Probe.Subject, Found->second, member_status::Suspect, Now);
   Probe = {};
 }
 
+static void timeOutSuspects(membership &Membership, instant Now) {
+  for (const std::string &Name : std::set<std::string>(Membership.Changing)) {
+    auto Member = Membership.Members.find(Name);
+    if (Member != Membership.Members.end() &&
+        Member->second.Status == member_status::Suspect &&
+        Now >= Member->second.SuspectSince + Membership.Policy.SuspectTime)
+      change(Membership, Name, Member->second, member_status::Down, Now);
+  }
+}
+
 messages membershipTick(membership &Membership, instant Now) {
   messages Messages;
-  for (auto &[Name, Member] : Membership.Members)
-    if (Member.Status == member_status::Suspect &&
-        Now >= Member.SuspectSince + Membership.Policy.SuspectTime)
-      change(Membership, Member, member_status::Down, Now);
+  timeOutSuspects(Membership, Now);
   escalate(Membership, Now, Messages);
   if (Now < Membership.NextProbe || !Membership.Probe.Subject.empty())
     return Messages;
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,11 @@
   membership_policy Policy;
   std::mt19937_64 Random;
   std::map<std::string, member_state> Members;
+  /// Members whose belief is still to be sent, or that are suspected: what a
+  /// tick and a message look at, so that neither grows with the fleet.
+  std::set<std::string> Changing;
+  /// Members that are suspected or down.
+  std::set<std::string> NotUp;
   /// Members still to be probed in this round.
   std::vector<std::string> Round;
   running_probe Probe;
@@ -93,7 +99,7 @@
 
 /// Sets who belongs to the fleet, own members included or not. New members
 /// count as up.
-void setMembers(membership &Membership, const std::vector<std::string> &Names);
+void setMembers(membership &Membership, const std::set<std::string> &Names);
 
 /// Sets the members that this control answers for.
 void setOwnMembers(membership &Membership,
@@ -108,6 +114,9 @@
 handleMembershipMessage(membership &Membership, const std::string &From,
                         const membership_message &Message, instant Now);
 
+/// The members that are suspected or down.
+const std::set<std::string> &downMembers(const membership &Membership);
+
 /// Whether \p Name may be used: known and not suspected.
 bool isUp(const membership &Membership, const std::string &Name);
 
--- a/Services/Control/control_daemon.cpp
+++ b/Services/Control/control_daemon.cpp
@@ -119,28 +119,37 @@
     KeyBySequence[++Sequence] = Item.Key;
     SequenceByKey[Item.Key] = Sequence;
   }
-  refreshMembers();
+  // Most changes are to contracts and pools; only those to daemons cost a pass
+  // over the fleet.
+  bool MembersChanged = false;
+  for (const item &Item : Items)
+    MembersChanged = noteDaemon(Item) || MembersChanged;
+  if (MembersChanged)
+    refreshMembers();
   wakeWaiters();
 }
 
+bool control_daemon::noteDaemon(const item &Item) {
+  const std::string Kind = splitKey(Item.Key).Kind;
+  if (Kind != kinds::Control && Kind != kinds::Gateway && Kind != kinds::Entry)
+    return false;
+  auto Record = parseDaemon(Item.Value);
+  if (Item.Deleted || !Record)
+    Records.erase(Item.Key);
+  else
+    Records[Item.Key] = std::move(*Record);
+  return true;
+}
+
 void control_daemon::refreshMembers() {
-  Records.clear();
-  std::vector<std::string> Names;
+  std::set<std::string> Names;
   std::vector<replica_peer> Peers;
-  for (const char *Kind : {kinds::Control, kinds::Gateway, kinds::Entry}) {
-    for (const item *Item : itemsOf(View, Kind)) {
-      auto Record = parseDaemon(Item->Value);
-      if (!Record)
-        continue;
-      Names.push_back(Item->Key);
-      if (Kind == kinds::Control && Item->Key != Name)
-        Peers.push_back({Item->Key, Record->Region});
-      Records[Item->Key] = std::move(*Record);
-    }
+  for (const auto &[Key, Record] : Records) {
+    Names.insert(Key);
+    if (splitKey(Key).Kind == kinds::Control && Key != Name &&
+        !Down.contains(Key))
+      Peers.push_back({Key, Record.Region});
   }
-  std::erase_if(Peers, [this](const replica_peer &Peer) {
-    return Down.contains(Peer.Name);
-  });
   if (Peers.empty())
     for (const std::string &Seed : Settings.Control.Seeds)
       if (Seed != Settings.Control.Listen)
@@ -171,18 +180,10 @@
   refreshMembers();
 }
 
-std::set<std::string> control_daemon::downMembers() const {
-  std::set<std::string> Names;
-  for (const auto &[Member, State] : Members.Members)
-    if (State.Status != member_status::Up)
-      Names.insert(Member);
-  return Names;
-}
-
 void control_daemon::tick() {
   refreshOwnMembers();
   send(membershipTick(Members, currentInstant()));
-  std::set<std::string> Now = downMembers();
+  std::set<std::string> Now = downMembers(Members);
   if (Now == Down)
     return;
   for (const std::string &Member : Now)
--- a/Services/Control/control_daemon.h
+++ b/Services/Control/control_daemon.h
@@ -63,10 +63,11 @@
   void send(const std::vector<outgoing_replica_message> &Messages);
   void send(const std::vector<outgoing_membership_message> &Messages);
   std::string addressOf(const std::string &Member) const;
+  /// Whether \p Item registers or removes a daemon; notes it.
+  bool noteDaemon(const item &Item);
   void refreshMembers();
   void refreshOwnMembers();
   void tick();
-  std::set<std::string> downMembers() const;
   change_batch collect(std::uint64_t Epoch, std::uint64_t Sequence) const;
   void wakeWaiters();
   bool shouldWatch() const;
--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -4,6 +4,7 @@
 #include "Rpc/byte_source.h"
 #include "caller_exchange.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -11,6 +12,12 @@
 
 static constexpr duration TickPeriod = std::chrono::milliseconds(20);
 static constexpr duration OfferPeriod = std::chrono::milliseconds(500);
+/// Offers younger than this aren't asked for.
+static constexpr duration OfferAge = std::chrono::milliseconds(1'000);
+/// Gateways asked per period.
+static constexpr std::size_t OffersPerPeriod = 3;
+/// A near gateway's offer counts as this many times older than a far one's.
+static constexpr int FarOfferWeight = 2;
 static constexpr duration OfferLimit = std::chrono::milliseconds(1'000);
 static constexpr duration WitnessLimit = std::chrono::milliseconds(2'000);
 /// Beyond a request's deadline, so that the gateway's own answer comes first.
@@ -46,9 +53,7 @@
     : Settings(Settings),
       Control(
           Loop, Settings.Control.Listen, identityOf(Settings),
-          [this](const object_view &View, const std::set<std::string> &Down) {
-            applyView(View, Down);
-          }) {
+          [this](const view_change &Change) { applyView(Change); }) {
   for (entry_shard &Shard : Shards)
     Shard.Node = makeEntry(nodeSettings(Settings));
 }
@@ -125,9 +130,9 @@
   if (!Name)
     return {};
   auto Found = Gateways.find(Name->Instance);
-  if (Found == Gateways.end() || Found->second.second != Name->Incarnation)
+  if (Found == Gateways.end() || Found->second.Incarnation != Name->Incarnation)
     return {};
-  return Found->second.first;
+  return Found->second.Address;
 }
 
 static void writeWork(const entry_request &Held, const forward_request &Action,
@@ -301,26 +306,52 @@
 }
 
 void entry_daemon::hearOffers(capnp::List<wire::Offer>::Reader Offers) {
-  for (const service_offer &Offer : readOffers(Offers, currentInstant()))
+  const instant Now = currentInstant();
+  for (const service_offer &Offer : readOffers(Offers, Now)) {
     stepAll(offer_heard{Offer.Service, Offer.Offer});
+    const auto Name = splitNodeId(Offer.Offer.Gateway);
+    auto Gateway = Name ? Gateways.find(Name->Instance) : Gateways.end();
+    if (Gateway != Gateways.end())
+      Gateway->second.OffersAt = Now;
+  }
 }
 
+/// Offers ride on answers; only those not heard for a while are asked for, the
+/// oldest first and near ones before far ones, a fixed number per period. What
+/// this costs a node doesn't grow with the fleet.
 void entry_daemon::pollOffers() {
-  for (const auto &[Instance, Gateway] : Gateways) {
-    kj::Promise<capnp::Response<wire::Gateway::OffersResults>> Call =
-        Loop.peer<wire::Gateway>(Gateway.first).offersRequest().send();
-    Loop.keep(
-        Loop.within(OfferLimit, kj::mv(Call))
-            .then(
-                [this](capnp::Response<wire::Gateway::OffersResults> Response) {
-                  hearOffers(Response.getOffers());
-                },
-                [this, Address = Gateway.first](kj::Exception &&) {
-                  Loop.dropPeer(Address);
-                }));
+  const instant Now = currentInstant();
+  std::vector<known_gateway *> Due;
+  for (auto &[Instance, Gateway] : Gateways)
+    if (Now - Gateway.OffersAt >= OfferAge)
+      Due.push_back(&Gateway);
+  const auto Urgency = [Now](const known_gateway *Gateway) {
+    const duration Age = Now - Gateway->OffersAt;
+    return Gateway->Near ? FarOfferWeight * Age : Age;
+  };
+  const std::size_t Count = std::min(Due.size(), OffersPerPeriod);
+  std::partial_sort(Due.begin(), Due.begin() + static_cast<long>(Count),
+                    Due.end(), [&](const auto *Left, const auto *Right) {
+                      return Urgency(Left) > Urgency(Right);
+                    });
+  for (std::size_t Place = 0; Place < Count; ++Place) {
+    Due[Place]->OffersAt = Now;
+    askForOffers(Due[Place]->Address);
   }
 }
 
+void entry_daemon::askForOffers(const std::string &Address) {
+  kj::Promise<capnp::Response<wire::Gateway::OffersResults>> Call =
+      Loop.peer<wire::Gateway>(Address).offersRequest().send();
+  Loop.keep(Loop.within(OfferLimit, kj::mv(Call))
+                .then(
+                    [this](capnp::Response<wire::Gateway::OffersResults>
+                               Response) { hearOffers(Response.getOffers()); },
+                    [this, Address](kj::Exception &&) {
+                      Loop.dropPeer(Address);
+                    }));
+}
+
 std::string entry_daemon::explain(const std::string &Customer,
                                   const std::string &Service) {
   using json = nlohmann::ordered_json;
--- a/Services/Entry/entry_daemon.h
+++ b/Services/Entry/entry_daemon.h
@@ -67,6 +67,15 @@
   std::string Address;
 };
 
+/// A gateway that runs, by the last objects.
+struct known_gateway {
+  std::string Address;
+  std::int64_t Incarnation = 0;
+  bool Near = false;
+  /// When its offers were last heard or asked for.
+  instant OffersAt{};
+};
+
 /// Answer to a look-up.
 struct lookup_answer {
   std::vector<named_entry> Entries;
@@ -117,8 +126,11 @@
                     wire::Answer::Reader Answer);
   void hearOffers(capnp::List<wire::Offer>::Reader Offers);
   void pollOffers();
-  void applyView(const object_view &View, const std::set<std::string> &Down);
-  void applyContracts(const object_view &View);
+  void askForOffers(const std::string &Address);
+  void applyView(const view_change &Change);
+  void applyContract(const item &Item);
+  void applyGateways(const view_change &Change);
+  void applyEntries(const view_change &Change);
   /// Empty when that incarnation isn't known to run.
   std::string addressOf(const std::string &NodeId) const;
 
@@ -130,7 +142,7 @@
 
   // On the loop's thread only:
   std::map<std::uint64_t, std::shared_ptr<entry_request>> Requests;
-  std::map<std::string, std::pair<std::string, std::int64_t>> Gateways;
+  std::map<std::string, known_gateway> Gateways;
   std::map<std::string, std::int64_t> ContractVersions;
 
   std::mutex EntriesLock;
--- a/Services/Entry/entry_view.cpp
+++ b/Services/Entry/entry_view.cpp
@@ -13,70 +13,74 @@
 /// Entries named in one answer.
 static constexpr std::size_t NamedEntries = 4;
 
-void entry_daemon::applyContracts(const object_view &View) {
-  const std::string Prefix = objectKey(kinds::Contract, "");
-  for (auto Entry = View.Items.lower_bound(Prefix);
-       Entry != View.Items.end() && Entry->first.starts_with(Prefix); ++Entry) {
-    const item &Item = Entry->second;
-    std::int64_t &Applied = ContractVersions[Item.Key];
-    if (Item.Version <= Applied)
-      continue;
-    Applied = Item.Version;
-    const std::string Customer = splitKey(Item.Key).Name;
-    entry_shard &Shard = shardOf(Customer);
-    if (Item.Deleted) {
-      step(Shard, contract_deleted{Customer});
-      continue;
-    }
-    result<contract> Contract = parseContract(Item.Value);
-    if (!Contract) {
-      // The last good one stays in force.
-      logLine(log_level::Error, "contract can't be read",
-              {{"customer", Customer}, {"reason", Contract.error().Message}});
-      continue;
-    }
-    step(Shard, contract_changed{*Contract});
+void entry_daemon::applyContract(const item &Item) {
+  std::int64_t &Applied = ContractVersions[Item.Key];
+  if (Item.Version <= Applied)
+    return;
+  Applied = Item.Version;
+  const std::string Customer = splitKey(Item.Key).Name;
+  entry_shard &Shard = shardOf(Customer);
+  if (Item.Deleted) {
+    step(Shard, contract_deleted{Customer});
+    return;
   }
+  const result<contract> Contract = parseContract(Item.Value);
+  if (!Contract) {
+    // The last good one stays in force.
+    logLine(log_level::Error, "contract can't be read",
+            {{"customer", Customer}, {"reason", Contract.error().Message}});
+    return;
+  }
+  step(Shard, contract_changed{*Contract});
 }
 
-void entry_daemon::applyView(const object_view &View,
-                             const std::set<std::string> &Down) {
-  const drains_in_force Drains = drainsOf(View);
-  const auto IsDrained = [&](const std::string &Instance) {
-    return std::find(Drains.Instances.begin(), Drains.Instances.end(),
-                     Instance) != Drains.Instances.end();
-  };
+void entry_daemon::applyGateways(const view_change &Change) {
   Gateways.clear();
   gateways_changed Known;
-  for (const item *Item : itemsOf(View, kinds::Gateway)) {
+  for (const item *Item : itemsOf(Change.View, kinds::Gateway)) {
     const auto Record = parseDaemon(Item->Value);
-    if (!Record || Down.contains(Item->Key))
+    if (!Record || Change.Down.contains(Item->Key))
       continue;
-    Gateways[Record->Instance] = {Record->Address, Item->Version};
+    Gateways[Record->Instance] = {Record->Address, Item->Version,
+                                  Record->Region == Settings.Region};
     for (const std::string &Site : Record->Sites)
       Known.Gateways.push_back(
           gatewayNodeId(Record->Instance, Site, Item->Version));
   }
+  stepAll(Known);
+}
+
+void entry_daemon::applyEntries(const view_change &Change) {
+  const drains_in_force Drains = drainsOf(Change.View);
+  const std::set<std::string> Drained(Drains.Instances.begin(),
+                                      Drains.Instances.end());
   std::vector<named_entry> Named;
   std::int64_t Sharing = 0;
-  for (const item *Item : itemsOf(View, kinds::Entry)) {
+  for (const item *Item : itemsOf(Change.View, kinds::Entry)) {
     const auto Record = parseDaemon(Item->Value);
     if (!Record)
       continue;
     ++Sharing;
-    if (!Down.contains(Item->Key) && !IsDrained(Record->Instance))
+    if (!Change.Down.contains(Item->Key) && !Drained.contains(Record->Instance))
       Named.push_back({Record->Instance, Record->Region, Record->Address});
   }
-  stepAll(Known);
   stepAll(entries_changed{std::max<std::int64_t>(Sharing, 1)});
   stepAll(draining_sites_changed{{Drains.Sites.begin(), Drains.Sites.end()}});
-  applyContracts(View);
-  {
-    const std::lock_guard Guard(EntriesLock);
-    Entries = std::move(Named);
-  }
+  const std::lock_guard Guard(EntriesLock);
+  Entries = std::move(Named);
+}
+
+void entry_daemon::applyView(const view_change &Change) {
+  if (Change.touches(kinds::Gateway) || Change.DownChanged)
+    applyGateways(Change);
+  if (Change.touches(kinds::Entry) || Change.touches(kinds::Drain) ||
+      Change.DownChanged)
+    applyEntries(Change);
+  for (const item &Item : Change.Items)
+    if (splitKey(Item.Key).Kind == kinds::Contract)
+      applyContract(Item);
   // Serves customers only once it has state, from the platform or from peers.
-  if (!View.Items.empty())
+  if (!Change.View.Items.empty())
     Ready = true;
 }
 
--- a/Services/Gateway/gateway_daemon.cpp
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -32,9 +32,7 @@
     : Settings(Settings),
       Control(
           Loop, Settings.Control.Listen, identityOf(Settings),
-          [this](const object_view &View, const std::set<std::string> &Down) {
-            applyView(View, Down);
-          }),
+          [this](const view_change &Change) { applyView(Change); }),
       Workers(MaxWorkers) {}
 
 gateway_daemon::~gateway_daemon() { Timers.stop(); }
--- a/Services/Gateway/gateway_daemon.h
+++ b/Services/Gateway/gateway_daemon.h
@@ -101,9 +101,12 @@
               std::string First, std::shared_ptr<byte_pipe> Rest);
   body_reader sourceReader(const std::shared_ptr<request_payload> &Payload);
 
-  void applyView(const object_view &View, const std::set<std::string> &Down);
-  void applySite(node_shard &Shard, const object_view &View,
-                 const std::set<std::string> &Down);
+  void applyView(const view_change &Change);
+  node_shard &shardFor(const std::string &Site, std::int64_t Incarnation);
+  void applyPool(node_shard &Shard, const std::string &Site,
+                 const object_view &View);
+  void applyDrains(node_shard &Shard, const std::string &Site,
+                   const object_view &View);
   peers_changed peersOf(const std::string &Site, const object_view &View,
                         const std::set<std::string> &Down) const;
   void probeTargets();
--- a/Services/Gateway/gateway_view.cpp
+++ b/Services/Gateway/gateway_view.cpp
@@ -61,49 +61,72 @@
   return Peers;
 }
 
-void gateway_daemon::applyView(const object_view &View,
-                               const std::set<std::string> &Down) {
-  Addresses.clear();
-  for (const item *Item : itemsOf(View, kinds::Gateway))
-    if (const auto Record = parseDaemon(Item->Value))
-      Addresses[Record->Instance] = {Record->Address, Item->Version};
+void gateway_daemon::applyView(const view_change &Change) {
+  const object_view &View = Change.View;
+  const bool GatewaysChanged =
+      Change.touches(kinds::Gateway) || Change.DownChanged;
+  if (GatewaysChanged) {
+    Addresses.clear();
+    for (const item *Item : itemsOf(View, kinds::Gateway))
+      if (const auto Record = parseDaemon(Item->Value))
+        Addresses[Record->Instance] = {Record->Address, Item->Version};
+  }
   const std::int64_t Incarnation = Control.incarnation();
   if (Incarnation == 0)
     return;
+  const bool DrainsChanged = Change.touches(kinds::Drain);
+  const bool TargetsChanged = Change.touches(kinds::Target) || DrainsChanged;
   for (const std::string &Site : Settings.Gateway.Sites) {
     auto Item = View.Items.find(objectKey(kinds::Site, Site));
     if (Item == View.Items.end() || Item->second.Deleted)
       continue;
-    if (!Shards.contains(Site)) {
-      auto Shard = std::make_unique<node_shard>();
-      Shard->Node = makeGateway(nodeSettings(Settings, Site, Incarnation));
-      logLine(log_level::Info, "serving site",
-              {{"site", Site}, {"node", Shard->Node.Settings.Id}});
-      const std::lock_guard Guard(ShardsLock);
-      Shards[Site] = std::move(Shard);
-    }
-    if (const auto Parsed = parseSite(Item->second.Value)) {
-      node_shard &Shard = *Shards[Site];
-      step(Shard, site_changed{*Parsed, targetsOf(View, Site)});
-      applySite(Shard, View, Down);
-    }
+    // A site heard of for the first time takes in all that is known.
+    const bool Fresh = !Shards.contains(Site);
+    node_shard &Shard = shardFor(Site, Incarnation);
+    if (Fresh || TargetsChanged || Change.touches(kinds::Site))
+      if (const auto Parsed = parseSite(Item->second.Value))
+        step(Shard, site_changed{*Parsed, targetsOf(View, Site)});
+    if (Fresh || GatewaysChanged)
+      step(Shard, peersOf(Site, View, Change.Down));
+    if (Fresh || GatewaysChanged || Change.touches(kinds::Pool))
+      applyPool(Shard, Site, View);
+    if (Fresh || DrainsChanged)
+      applyDrains(Shard, Site, View);
   }
 }
 
-void gateway_daemon::applySite(node_shard &Shard, const object_view &View,
-                               const std::set<std::string> &Down) {
-  const std::string &Site = Shard.Node.Site.Name;
-  step(Shard, peersOf(Site, View, Down));
+node_shard &gateway_daemon::shardFor(const std::string &Site,
+                                     std::int64_t Incarnation) {
+  auto Found = Shards.find(Site);
+  if (Found != Shards.end())
+    return *Found->second;
+  auto Shard = std::make_unique<node_shard>();
+  Shard->Node = makeGateway(nodeSettings(Settings, Site, Incarnation));
+  logLine(log_level::Info, "serving site",
+          {{"site", Site}, {"node", Shard->Node.Settings.Id}});
+  const std::lock_guard Guard(ShardsLock);
+  return *(Shards[Site] = std::move(Shard));
+}
+
+void gateway_daemon::applyPool(node_shard &Shard, const std::string &Site,
+                               const object_view &View) {
   auto Pool = View.Items.find(objectKey(kinds::Pool, Site));
-  if (Pool != View.Items.end()) {
-    if (const auto Record =
-            parsePool(Pool->second.Value, Pool->second.Version)) {
-      step(Shard, record_seen{*Record});
-      for (const auto &[Holder, Row] : Record->Shares)
-        if (isProvedDead(View, Holder))
-          step(Shard, holder_dead{Holder});
-    }
+  if (Pool == View.Items.end())
+    return;
+  const auto Record = parsePool(Pool->second.Value, Pool->second.Version);
+  if (!Record) {
+    logLine(log_level::Error, "pool record can't be read",
+            {{"site", Site}, {"reason", Record.error().Message}});
+    return;
   }
+  step(Shard, record_seen{*Record});
+  for (const auto &[Holder, Row] : Record->Shares)
+    if (isProvedDead(View, Holder))
+      step(Shard, holder_dead{Holder});
+}
+
+void gateway_daemon::applyDrains(node_shard &Shard, const std::string &Site,
+                                 const object_view &View) {
   const drains_in_force Drains = drainsOf(View);
   const auto Contains = [](const std::vector<std::string> &Names,
                            const std::string &Name) {
