--- a/Libraries/Budget/budget.cpp
+++ b/Libraries/Budget/budget.cpp
@@ -5,9 +5,12 @@
 
 namespace amaranthhoist {
 
-/// Pauses between updates that weren't written.
-static constexpr duration FirstPause = std::chrono::milliseconds(25);
-static constexpr duration LastPause = std::chrono::seconds(10);
+/// Pauses between updates that weren't written. After a conflict the newer
+/// record is about to arrive; after silence the platform is likely to be away,
+/// and at the letter's size 1,900 holders must not knock at once.
+static constexpr duration FirstConflictPause = std::chrono::milliseconds(25);
+static constexpr duration FirstSilencePause = std::chrono::seconds(1);
+static constexpr duration LastPause = std::chrono::seconds(30);
 
 static std::int64_t amountOf(const amounts &Amounts, const std::string &Name) {
   auto Found = Amounts.find(Name);
@@ -204,10 +207,11 @@
   return Next;
 }
 
-/// Doubles from FirstPause to LastPause; the second half is the holder's own.
-static duration pauseAfter(const budget_holder &Holder, std::int32_t Failures) {
+/// Doubles from \p First to LastPause; the second half is the holder's own.
+static duration pauseAfter(const budget_holder &Holder, duration First) {
+  const std::int32_t Failures = Holder.FailedUpdates;
   const duration Whole =
-      std::min(LastPause, FirstPause * (1 << std::min(Failures, 10)));
+      std::min(LastPause, First * (1 << std::min(Failures, 10)));
   const auto Half = static_cast<std::uint64_t>(Whole.count() / 2);
   const std::uint64_t Own =
       stableHash(Holder.Self, static_cast<std::uint64_t>(Failures)) % Half;
@@ -223,7 +227,11 @@
   if (Result == update_result::Uncertain && Holder.Pending)
     Holder.Pending->Repeat = true;
   if (Result != update_result::Written) {
-    Holder.NextUpdate = Now + pauseAfter(Holder, ++Holder.FailedUpdates);
+    ++Holder.FailedUpdates;
+    Holder.NextUpdate =
+        Now + pauseAfter(Holder, Result == update_result::Conflict
+                                     ? FirstConflictPause
+                                     : FirstSilencePause);
     return;
   }
   Holder.FailedUpdates = 0;
