--- a/Libraries/Budget/budget.h
+++ b/Libraries/Budget/budget.h
@@ -95,6 +95,8 @@
   std::int32_t FailedUpdates = 0;
   instant NextUpdate{};
   std::uint64_t NextLoan = 1;
+  /// When loans are next renewed and returned.
+  instant NextRenewal{};
 };
 
 /// Times that decide when lent and stranded units may be used again.
@@ -192,7 +194,7 @@
                   instant Now);
 
 /// Renews loans given, returns idle loans taken and repeats unconfirmed
-/// returns. Called a few times per LoanLease.
+/// returns, four times per LoanLease however often it's called.
 std::vector<outgoing_loan_message>
 loanTick(budget_holder &Holder, const budget_timing &Timing, instant Now);
 
--- a/Libraries/Budget/loans.cpp
+++ b/Libraries/Budget/loans.cpp
@@ -130,6 +130,9 @@
 
 std::vector<outgoing_loan_message>
 loanTick(budget_holder &Holder, const budget_timing &Timing, instant Now) {
+  if (Now < Holder.NextRenewal)
+    return {};
+  Holder.NextRenewal = Now + Timing.LoanLease / 4;
   std::erase_if(Holder.Requested, [&](const auto &Entry) {
     return Now >= Entry.second + Timing.LoanLease;
   });
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -49,7 +49,7 @@
 
 /// Knobs of the probing.
 struct membership_policy {
-  duration ProbePeriod = std::chrono::milliseconds(500);
+  duration ProbePeriod = std::chrono::seconds(1);
   duration AckTimeout = std::chrono::milliseconds(300);
   duration SuspectTime = std::chrono::seconds(3);
   std::size_t IndirectProbes = 2;
--- a/Libraries/Routing/routing.h
+++ b/Libraries/Routing/routing.h
@@ -33,7 +33,7 @@
 /// Knobs of the site choice.
 struct routing_policy {
   /// After this an offer is worth a probing trickle only.
-  duration StaleAfter = std::chrono::seconds(3);
+  duration StaleAfter = std::chrono::seconds(6);
   /// Cost of a site this customer doesn't usually use: its caches are cold.
   duration ColdPenalty = std::chrono::milliseconds(4);
   /// Cost added to offers that are stale.
--- a/Services/Control/control_daemon.cpp
+++ b/Services/Control/control_daemon.cpp
@@ -9,7 +9,7 @@
 namespace amaranthhoist {
 
 static constexpr duration MembershipPeriod = std::chrono::milliseconds(100);
-static constexpr duration ComparePeriod = std::chrono::milliseconds(500);
+static constexpr duration ComparePeriod = std::chrono::milliseconds(1'000);
 /// A local daemon that hasn't asked for changes for this long isn't answered
 /// for. It asks at least every two seconds.
 static constexpr duration LifeSign = std::chrono::milliseconds(3'000);
--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -11,11 +11,11 @@
 namespace amaranthhoist {
 
 static constexpr duration TickPeriod = std::chrono::milliseconds(20);
-static constexpr duration OfferPeriod = std::chrono::milliseconds(500);
+static constexpr duration OfferPeriod = std::chrono::milliseconds(1'000);
 /// Offers younger than this aren't asked for.
 static constexpr duration OfferAge = std::chrono::milliseconds(1'000);
 /// Gateways asked per period.
-static constexpr std::size_t OffersPerPeriod = 3;
+static constexpr std::size_t OffersPerPeriod = 2;
 /// A near gateway's offer counts as this many times older than a far one's.
 static constexpr int FarOfferWeight = 2;
 static constexpr duration OfferLimit = std::chrono::milliseconds(1'000);
--- a/Tests/Scheduler/world.h
+++ b/Tests/Scheduler/world.h
@@ -74,6 +74,12 @@
   sabotage Sabotage = sabotage::None;
   duration Length = std::chrono::seconds(6);
   int Callers = 24;
+  std::string Service = "desk";
+  int TargetCount = 4;
+  std::int64_t Slots = 3;
+  std::int64_t SlotMilliwatts = 10'000;
+  /// Percent of requests that take half a second and more.
+  int LongPercent = 5;
   /// Percent of messages lost, and of those delivered twice.
   int LossPercent = 1;
   int DuplicatePercent = 1;
--- a/Utilities/Capacity/fleet_loop.cpp
+++ b/Utilities/Capacity/fleet_loop.cpp
@@ -6,7 +6,7 @@
 
 namespace amaranthhoist {
 
-static constexpr duration ComparePeriod = std::chrono::milliseconds(500);
+static constexpr duration ComparePeriod = std::chrono::milliseconds(1'000);
 static constexpr duration MembershipPeriod = std::chrono::milliseconds(100);
 /// Beside the message itself: Cap'n Proto's call, return and finish, measured
 /// between two controls on loopback (docs/CAPACITY.md).
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -36,7 +36,7 @@
 
 # Backend stand-ins: one process a site, so that the site counts its draw.
 start_backends() {
-  local port=$((base + 1000)) i
+  local port=$((base + 1000)) i kind count slots connections work_ms mw probe
   declare -A arguments=()
   for service in "${services[@]}"; do
     IFS=: read -r kind count slots connections work_ms mw probe <<<"$service"
@@ -59,7 +59,7 @@
 write_settings() { # write_settings NUMBER
   local n=$1 region=${regions[$(($1 % 3))]} half=a probe_path=
   [ $((n / 3 % 2)) = 0 ] || half=b
-  [ "$name" = jegyzet ] || probe_path=/health
+  [ "$name" = jegyzet ] || [ "${probes:-1}" = 0 ] || probe_path=/health
   cat >"$work/$name/instance-$n.yaml" <<YAML
 instance: $region-$n
 region: $region
