--- a/Libraries/Gateway/dispatch.cpp
+++ b/Libraries/Gateway/dispatch.cpp
@@ -68,7 +68,8 @@
       continue;
     if (!fits(Node, unitsFor(Node, Request, Name), Now, Short))
       continue;
-    if (!Best || targetCost(Target) < targetCost(*Best))
+    const target_policy &Policy = Node.Settings.Targets;
+    if (!Best || targetCost(Target, Policy) < targetCost(*Best, Policy))
       Best = &Target;
   }
   return Best;
--- a/Libraries/Routing/routing.cpp
+++ b/Libraries/Routing/routing.cpp
@@ -60,7 +60,7 @@
             [&](const offer &Left, const offer &Right) {
               return Cost(Left) < Cost(Right);
             });
-  if (Ranked.size() < 2)
+  if (Ranked.size() < 2 || Policy.Choice == offer_choice::Cheapest)
     return Ranked;
   std::vector<double> Weights;
   Weights.reserve(Ranked.size());
@@ -95,9 +95,11 @@
   return Now >= Target.QuarantinedUntil && Target.InFlight == 0;
 }
 
-double targetCost(const target_state &Target) {
+double targetCost(const target_state &Target, const target_policy &Policy) {
   const auto Busy = static_cast<double>(Target.InFlight + 1) /
                     static_cast<double>(Target.Slots);
+  if (Policy.Choice == target_choice::Load)
+    return Busy;
   return Busy * static_cast<double>(Target.Typical.count());
 }
 
--- a/Libraries/Routing/routing.h
+++ b/Libraries/Routing/routing.h
@@ -30,8 +30,17 @@
   bool Suspect = false;
 };
 
+/// How one of the ranked offers is chosen.
+enum class offer_choice : std::uint8_t {
+  /// Two drawn by free units, the cheaper of them.
+  CheaperOfTwo,
+  /// Always the cheapest; kept to compare with (docs/DESIGN.md).
+  Cheapest,
+};
+
 /// Knobs of the site choice.
 struct routing_policy {
+  offer_choice Choice = offer_choice::CheaperOfTwo;
   /// After this an offer is worth a probing trickle only.
   duration StaleAfter = std::chrono::seconds(6);
   /// Cost of a site this customer doesn't usually use: its caches are cold.
@@ -78,8 +87,17 @@
   duration Typical = std::chrono::milliseconds(20);
 };
 
+/// What a target costs.
+enum class target_choice : std::uint8_t {
+  /// Own requests in flight per slot, times its typical time.
+  LoadAndSpeed,
+  /// Own requests in flight per slot; kept to compare with (docs/DESIGN.md).
+  Load,
+};
+
 /// Knobs of the target choice.
 struct target_policy {
+  target_choice Choice = target_choice::LoadAndSpeed;
   std::int32_t MaxFailures = 3;
   duration Quarantine = std::chrono::milliseconds(500);
   duration WarmUp = std::chrono::seconds(2);
@@ -89,9 +107,9 @@
 bool takesWork(const target_state &Target, const target_policy &Policy,
                instant Now);
 
-/// Busy part of a target's slots plus its speed; lower is better. Own counts
+/// Busy part of a target's slots, and its speed; lower is better. Own counts
 /// only: a reported load may lag or mislead.
-double targetCost(const target_state &Target);
+double targetCost(const target_state &Target, const target_policy &Policy);
 
 /// Notes how a request at \p Target ended.
 void noteTargetResult(target_state &Target, const target_policy &Policy,
--- a/Services/Control/platform_watch.cpp
+++ b/Services/Control/platform_watch.cpp
@@ -8,7 +8,7 @@
 
 namespace amaranthhoist {
 
-static constexpr std::int64_t WatchWaitMs = 1'000;
+static constexpr std::int64_t WatchWaitMs = 10'000;
 static constexpr auto WatchPause = std::chrono::milliseconds(250);
 
 /// The first few live controls of each region by name watch; the others get
--- a/Tests/Scheduler/world.cpp
+++ b/Tests/Scheduler/world.cpp
@@ -191,6 +191,7 @@
   Settings.Budget.LoanLease = milliseconds(400);
   Settings.Budget.ReclaimDelay = MaxWork + milliseconds(800);
   Settings.RetryAfter = milliseconds(50);
+  Settings.Targets = Options.TargetPolicy;
   if (Options.Sabotage == sabotage::NoLingering)
     Settings.EndMargin = -seconds(60);
   if (Options.Sabotage == sabotage::ReclaimAtOnce)
@@ -368,6 +369,8 @@
     return;
   }
   duration Work = milliseconds(Long ? 500 + draw(900) : 5 + draw(40));
+  if (Action.Target == Targets.back().Name)
+    Work *= Options.SlowFactor;
   const bool Lost = has(fault::LostAnswers) && chance(10);
   // The backend server stops at the deadline that it was told.
   const instant End = std::min(Now + Work, Action.Deadline);
@@ -515,6 +518,7 @@
       chance(60) ? work_class::NonIdempotent : work_class::Idempotent;
   Operation->Long = chance(Options.LongPercent);
   Operation->Deadline = Now + CallerDeadline;
+  Result.Started[Operation->Name] = Now;
   const int Entry = draw(EntryCount);
   ++LiveOperations;
   if (Operation->Class == work_class::NonIdempotent) {
@@ -533,7 +537,8 @@
   // Some callers are impatient and send the same key at other entries too.
   if (chance(10))
     submit(Operation, 1 - Entry);
-  const int Pause = has(fault::Surge) ? 80 : 400;
+  const int ByFaults = has(fault::Surge) ? 80 : 400;
+  const int Pause = Options.PauseMs > 0 ? Options.PauseMs : ByFaults;
   after(milliseconds(draw(Pause) + 1), [this, Caller] { startCaller(Caller); });
 }
 
@@ -638,6 +643,7 @@
   for (int Number = 0; Number < EntryCount; ++Number) {
     entry_settings Settings;
     Settings.Seed = Random();
+    Settings.Routing = Options.RoutingPolicy;
     Settings.RetryAfter = milliseconds(50);
     Entries.push_back(makeEntry(Settings));
     contract Contract;
--- a/Tests/Scheduler/world.h
+++ b/Tests/Scheduler/world.h
@@ -80,6 +80,12 @@
   std::int64_t SlotMilliwatts = 10'000;
   /// Percent of requests that take half a second and more.
   int LongPercent = 5;
+  /// Longest pause of a caller between two requests; 0: by the faults.
+  int PauseMs = 0;
+  /// One target takes this many times as long as the others.
+  int SlowFactor = 1;
+  target_policy TargetPolicy;
+  routing_policy RoutingPolicy;
   /// Percent of messages lost, and of those delivered twice.
   int LossPercent = 1;
   int DuplicatePercent = 1;
@@ -88,6 +94,8 @@
 /// What a run counted, beside its history.
 struct world_result {
   history History;
+  /// When each operation began, by name.
+  std::map<std::string, instant> Started;
   std::map<outcome, int> Outcomes;
   int Requests = 0;
   /// Requests that never got a final answer.
--- a/Utilities/Capacity/measure_fleet.cpp
+++ b/Utilities/Capacity/measure_fleet.cpp
@@ -337,9 +337,9 @@
   }
   printSlope("writes per pool when its holders start", "writes", Writes, 3);
   measureReturn(1'900);
-  std::printf("  at rest: %d watches of 1 s, %.1f reads/s; %d changes a day: "
+  std::printf("  at rest: %d watches of 10 s, %.1f reads/s; %d changes a day: "
               "%.2f writes/s, %.1f watch answers/s\n",
-              Watchers, double(Watchers), ChangesPerDay,
+              Watchers, Watchers / 10.0, ChangesPerDay,
               ChangesPerDay / SecondsPerDay,
               Watchers * ChangesPerDay / SecondsPerDay);
 }
