Gateway, Budget: use the cap that is there

Ruled out: the witness (same at 0 % keyed). Now: shares and loans in quanta, full links set aside, the wait by what can run at once, and 50 ms of each hop's time kept for the way back.

--- a/Libraries/Budget/budget.cpp
+++ b/Libraries/Budget/budget.cpp
@@ -54,6 +54,11 @@
   return Found == Holder.Shares.end() ? Empty : Found->second;
 }
 
+std::int64_t quantumOf(const budget_holder &Holder,
+                       const std::string &Resource) {
+  return std::max<std::int64_t>(1, amountOf(Holder.Quanta, Resource));
+}
+
 std::int64_t availableUnits(const budget_holder &Holder,
                             const std::string &Resource, instant Now) {
   const share &Share = shareOf(Holder, Resource);
@@ -118,30 +123,36 @@
   return Names;
 }
 
-/// Equal parts of a limit. The remainder starts at a row that depends on the
-/// resource, so that all holders compute the same split from the same record
-/// and no row gets every target's odd slot.
+/// Equal parts of a limit, in quanta. The remainder starts at a row that
+/// depends on the resource, so that all holders compute the same split from the
+/// same record and no row gets every target's odd slot.
 static std::int64_t fairUnits(const pool_record &Record,
                               const std::string &Self,
-                              const std::string &Resource, std::int64_t Limit) {
+                              const std::string &Resource, std::int64_t Limit,
+                              std::int64_t Quantum) {
   const auto Rows = static_cast<std::int64_t>(Record.Shares.size());
   const auto Rank = static_cast<std::int64_t>(
       std::distance(Record.Shares.begin(), Record.Shares.find(Self)));
   const auto Start = static_cast<std::int64_t>(
       stableHash(Resource) % static_cast<std::uint64_t>(Rows));
-  return Limit / Rows + ((Rank + Start) % Rows < Limit % Rows ? 1 : 0);
+  const std::int64_t Whole = Limit / Quantum;
+  const bool OneMore = (Rank + Start) % Rows < Whole % Rows;
+  return (Whole / Rows + (OneMore ? 1 : 0)) * Quantum;
 }
 
 static std::int64_t nextUnits(const budget_holder &Holder,
                               const pool_record &Next,
                               const std::string &Resource, std::int64_t Limit) {
   const std::int64_t Row = amountOf(Next.Shares.at(Holder.Self), Resource);
-  const std::int64_t Fair = fairUnits(Next, Holder.Self, Resource, Limit);
+  const std::int64_t Quantum = quantumOf(Holder, Resource);
+  const std::int64_t Fair =
+      fairUnits(Next, Holder.Self, Resource, Limit, Quantum);
   const share &Share = shareOf(Holder, Resource);
   if (Row > Fair)
     return std::min(Row, std::max(Fair, Share.Used + Share.Lent));
-  const std::int64_t Free = Limit - sumOfRows(Next, Resource);
-  return Row + std::clamp<std::int64_t>(Free, 0, Fair - Row);
+  const std::int64_t Free =
+      std::max<std::int64_t>(0, Limit - sumOfRows(Next, Resource));
+  return Row + std::min(Free / Quantum * Quantum, Fair - Row);
 }
 
 static void forgetLoansOfDead(budget_holder &Holder,
--- a/Libraries/Budget/budget.h
+++ b/Libraries/Budget/budget.h
@@ -78,6 +78,10 @@
   pool_record Record;
   /// Limit of each resource as the settings and measurements have it now.
   amounts Limits;
+  /// Smallest useful amount of a resource; missing: 1. Shares and loans are
+  /// multiples of it: three holders of 80 W whose requests draw 10 W would
+  /// otherwise get 26.7 W each and leave a quarter unused.
+  amounts Quanta;
   std::map<std::string, share> Shares;
   /// Loans given, by loan id.
   std::map<std::string, loan> Given;
@@ -109,6 +113,10 @@
   duration ReclaimDelay = std::chrono::seconds(130);
 };
 
+/// The quantum of \p Resource, at least 1.
+std::int64_t quantumOf(const budget_holder &Holder,
+                       const std::string &Resource);
+
 /// Units of \p Resource that may be put under new work at \p Now.
 std::int64_t availableUnits(const budget_holder &Holder,
                             const std::string &Resource, instant Now);
--- a/Libraries/Budget/loans.cpp
+++ b/Libraries/Budget/loans.cpp
@@ -31,7 +31,9 @@
   const std::int64_t OwnIdle = Share.Granted - Share.Lent - Share.Used;
   const std::int64_t Idle =
       std::min(OwnIdle, availableUnits(Holder, Message.Resource, Now));
-  return std::clamp<std::int64_t>((Idle + 1) / 2, 0, Message.Units);
+  const std::int64_t Quantum = quantumOf(Holder, Message.Resource);
+  const std::int64_t Half = (std::max<std::int64_t>(Idle, 0) / Quantum + 1) / 2;
+  return std::min(Half * Quantum, Message.Units / Quantum * Quantum);
 }
 
 static std::vector<outgoing_loan_message> lend(budget_holder &Holder,
--- a/Libraries/Entry/entry.cpp
+++ b/Libraries/Entry/entry.cpp
@@ -91,7 +91,7 @@
   Action.Gateway = Gateway;
   Action.Priority = Contract ? Contract->Priority : 0;
   Action.Weight = Contract ? Contract->Weight : 1;
-  Action.Deadline = Work.Request.Deadline;
+  Action.Deadline = Work.Request.Deadline - Node.Settings.HopMargin;
   Actions.push_back(Action);
 }
 
--- a/Libraries/Entry/entry.h
+++ b/Libraries/Entry/entry.h
@@ -36,6 +36,9 @@
   std::map<std::string, duration> LinkLatency;
   routing_policy Routing;
   retry_budget Retries;
+  /// Kept from a request's time for the way back: the gateway's last word then
+  /// comes before the caller's deadline, and says more than this entry can.
+  duration HopMargin = std::chrono::milliseconds(50);
   /// Forwards per request, the first included.
   std::int32_t MaxForwards = 2;
   duration RetryAfter = std::chrono::seconds(1);
--- a/Libraries/Gateway/dispatch.cpp
+++ b/Libraries/Gateway/dispatch.cpp
@@ -7,27 +7,66 @@
 
 /// Units asked for in one loan, in requests.
 static constexpr std::int64_t RequestsPerLoan = 2;
+/// Requests set aside at a time because their links are full.
+static constexpr std::size_t MaxSetAside = 64;
 
-duration predictedWait(const gateway_node &Node, const std::string &Service) {
-  auto Queue = Node.Queues.find(Service);
-  const auto Waiting =
-      Queue == Node.Queues.end() ? 0 : std::int64_t(Queue->second.Total);
-  if (Waiting == 0)
-    return duration{};
-  std::int64_t Slots = 0;
+namespace {
+
+/// Requests of one service that can run at once here, and how long they take.
+struct service_rate {
+  std::int64_t Parallel = 0;
   duration Typical{};
+};
+
+/// Why a request was not sent, or that it need not wait in the queue.
+enum class send_result : std::uint8_t {
+  Sent,
+  /// Waits for its witness alone, outside the queue.
+  Parked,
+  /// Its own link is full; a request from another region may still fit.
+  LinkFull,
+  /// Nothing takes work of this service now.
+  NoRoom,
+};
+
+} // namespace
+
+static std::int64_t grantedUnits(const gateway_node &Node,
+                                 const std::string &Resource) {
+  auto Share = Node.Budget.Shares.find(Resource);
+  return Share == Node.Budget.Shares.end() ? 0 : Share->second.Granted;
+}
+
+static service_rate rateOf(const gateway_node &Node,
+                           const std::string &Service) {
+  service_rate Rate;
   std::int64_t Count = 0;
   for (const auto &[Name, Target] : Node.Targets) {
     if (Target.Service != Service || Target.Leaving)
       continue;
-    auto Share = Node.Budget.Shares.find(slotResource(Name));
-    Slots += Share == Node.Budget.Shares.end() ? 0 : Share->second.Granted;
-    Typical += Target.Typical;
+    Rate.Parallel += grantedUnits(Node, slotResource(Name));
+    Rate.Typical += Target.Typical;
     ++Count;
   }
-  if (Count == 0)
+  Rate.Typical /= std::max<std::int64_t>(Count, 1);
+  auto Cost = Node.Site.SlotMilliwatts.find(Service);
+  if (Cost != Node.Site.SlotMilliwatts.end() && Cost->second > 0)
+    Rate.Parallel = std::min(Rate.Parallel,
+                             grantedUnits(Node, PowerResource) / Cost->second);
+  Rate.Parallel = std::max<std::int64_t>(Rate.Parallel, 1);
+  return Rate;
+}
+
+duration predictedWait(const gateway_node &Node, const std::string &Service) {
+  auto Queue = Node.Queues.find(Service);
+  const std::int64_t Waiting =
+      Queue == Node.Queues.end()
+          ? 0
+          : static_cast<std::int64_t>(Queue->second.Total);
+  if (Waiting == 0)
     return duration{};
-  return Typical / Count * Waiting / std::max<std::int64_t>(Slots, 1);
+  const service_rate Rate = rateOf(Node, Service);
+  return Rate.Typical * (Waiting + 1) / Rate.Parallel;
 }
 
 static std::vector<resource_amount> unitsFor(const gateway_node &Node,
@@ -106,34 +145,39 @@
                                    Item.ToldDeadline});
 }
 
-/// Sends \p Item or parks it for the witness. False when no target takes it.
-static bool trySend(gateway_node &Node, work_item &Item, moment Moment,
-                    actions &Actions) {
+static bool isLink(const std::string &Resource) {
+  return Resource.starts_with("link/");
+}
+
+static send_result trySend(gateway_node &Node, work_item &Item, moment Moment,
+                           actions &Actions) {
   std::set<std::string> Short;
   target_state *Target = chooseTarget(Node, Item.Request, Moment.Now, Short);
   if (!Target) {
     askForLoans(Node, Item.Request, Short, Moment.Now, Actions);
-    return false;
+    return std::any_of(Short.begin(), Short.end(), isLink)
+               ? send_result::LinkFull
+               : send_result::NoRoom;
   }
   if (Item.Request.Class == work_class::NonIdempotent &&
       !markSent(Node.Owned, Item.Request.Key)) {
     Item.Parked = true;
-    return true;
+    return send_result::Parked;
   }
   send(Node, Item, *Target, Moment, Actions);
-  return true;
-}
-
-static queued_request queuedFrom(const work_request &Request) {
-  return {Request.Token, Request.Customer, Request.Priority, Request.Weight,
-          Request.Deadline};
+  return send_result::Sent;
 }
 
+/// Sends requests of one queue in turn until nothing more fits. Requests whose
+/// link is full are set aside: behind one of them, those of other regions would
+/// wait for a link that they don't use.
 void pump(gateway_node &Node, const std::string &Service, moment Moment,
           actions &Actions) {
   auto Queue = Node.Queues.find(Service);
   if (Queue == Node.Queues.end())
     return;
+  std::vector<queued_request> SetAside;
+  std::set<std::string> FullLinks;
   while (auto Next = dequeue(Queue->second)) {
     auto Found = Node.Work.find(Next->Token);
     if (Found == Node.Work.end())
@@ -144,11 +188,20 @@
       giveUp(Node, Next->Token, "deadline passed in the queue", Actions);
       continue;
     }
-    if (trySend(Node, Found->second, Moment, Actions))
+    const std::string &Region = Found->second.Request.SourceRegion;
+    const send_result Result =
+        FullLinks.contains(Region)
+            ? send_result::LinkFull
+            : trySend(Node, Found->second, Moment, Actions);
+    if (Result == send_result::Sent || Result == send_result::Parked)
       continue;
-    requeueFront(Queue->second, queuedFrom(Found->second.Request));
-    return;
+    SetAside.push_back(*Next);
+    if (Result == send_result::NoRoom || SetAside.size() >= MaxSetAside)
+      break;
+    FullLinks.insert(Region);
   }
+  for (auto Request = SetAside.rbegin(); Request != SetAside.rend(); ++Request)
+    requeueFront(Queue->second, *Request);
 }
 
 void pumpAll(gateway_node &Node, moment Moment, actions &Actions) {
--- a/Libraries/Gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/node.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace amaranthhoist {
@@ -32,6 +33,14 @@
   return Limits;
 }
 
+/// The largest amount of power that all kinds of work are multiples of.
+static std::int64_t powerQuantum(const site_settings &Site) {
+  std::int64_t Quantum = 0;
+  for (const auto &[Service, Milliwatts] : Site.SlotMilliwatts)
+    Quantum = std::gcd(Quantum, Milliwatts);
+  return std::max<std::int64_t>(Quantum, 1);
+}
+
 static void applyTarget(gateway_node &Node, const target_settings &Settings,
                         instant Now) {
   auto [Found, Fresh] = Node.Targets.try_emplace(Settings.Name);
@@ -69,6 +78,7 @@
     applyTarget(Node, Target, Moment.Now);
   dropAbsent(Node, Event.Targets);
   Node.Budget.Limits = limitsOf(Node);
+  Node.Budget.Quanta[PowerResource] = powerQuantum(Node.Site);
   gateway::pumpAll(Node, Moment, Actions);
 }
 
--- a/Tests/Scheduler/world.cpp
+++ b/Tests/Scheduler/world.cpp
@@ -636,7 +636,8 @@
   Stop = Now + Options.Length;
   for (int Number = 0; Number < Options.TargetCount; ++Number) {
     const std::string Name = "t" + std::to_string(Number);
-    Targets.push_back({Name, Site, Options.Service, Name, Options.Slots, false});
+    Targets.push_back(
+        {Name, Site, Options.Service, Name, Options.Slots, false});
     Result.History.TargetSlots[Name] = Options.Slots;
   }
   Result.History.Sites[Site] = {CapMilliwatts, IdleMilliwatts, {{"far", 4}}};
--- a/Tests/budget_test.cpp
+++ b/Tests/budget_test.cpp
@@ -108,8 +108,7 @@
   pool_record Store;
   write(Lender, Store, Start);
   const auto Asked = requestLoan(Borrower, "a", "power", 10, Start);
-  const auto Lent =
-      handleLoanMessage(Lender, "b", Asked.Message, {}, Start);
+  const auto Lent = handleLoanMessage(Lender, "b", Asked.Message, {}, Start);
   handleLoanMessage(Borrower, "a", Lent[0].Message, {}, Start);
   LONGS_EQUAL(10, availableUnits(Borrower, "power", Start));
   LONGS_EQUAL(90, availableUnits(Lender, "power", Start));
--- a/Tests/golden_test.cpp
+++ b/Tests/golden_test.cpp
@@ -28,21 +28,17 @@
 std::string describeSession(const world_result &Result) {
   std::vector<session_line> Lines;
   for (const recorded_execution &Execution : Result.History.Executions)
-    Lines.emplace_back(microseconds(Execution.Start),
-                       "run " + Execution.Operation + " key " +
-                           shortKey(Execution.Key) + " at " +
-                           Execution.Target + " from " +
-                           Execution.SourceRegion + " for " +
-                           std::to_string((Execution.End - Execution.Start)
-                                              .count()) +
-                           " us");
+    Lines.emplace_back(
+        microseconds(Execution.Start),
+        "run " + Execution.Operation + " key " + shortKey(Execution.Key) +
+            " at " + Execution.Target + " from " + Execution.SourceRegion +
+            " for " +
+            std::to_string((Execution.End - Execution.Start).count()) + " us");
   for (const told_answer &Told : Result.History.Told)
-    Lines.emplace_back(microseconds(Told.At),
-                       "told " + Told.Operation + " " +
-                           std::string(toString(Told.Outcome)) +
-                           (Told.ContentOf.empty() ? ""
-                                                   : " with " +
-                                                         Told.ContentOf));
+    Lines.emplace_back(
+        microseconds(Told.At),
+        "told " + Told.Operation + " " + std::string(toString(Told.Outcome)) +
+            (Told.ContentOf.empty() ? "" : " with " + Told.ContentOf));
   std::sort(Lines.begin(), Lines.end());
   std::string Text;
   for (const auto &[At, Line] : Lines)
--- a/Tests/history_test.cpp
+++ b/Tests/history_test.cpp
@@ -12,9 +12,9 @@
 instant at(int Seconds) { return instant(seconds(Seconds)); }
 
 recorded_execution runOf(int Start, int End, const char *Operation,
-                       const char *Key) {
-  return {at(Start), at(End), Operation, Key, "target", "site", "region",
-          10'000};
+                         const char *Key) {
+  return {at(Start), at(End), Operation, Key,
+          "target",  "site",  "region",  10'000};
 }
 
 /// Within every limit.
--- a/Tests/keys_test.cpp
+++ b/Tests/keys_test.cpp
@@ -42,8 +42,8 @@
   CHECK(key_verdict::Join == admitKey(Table, "k", Expiry, 2, Limits, Now));
   CHECK(witnessAnswered(Table, "k", true));
   CHECK(markSent(Table, "k"));
-  LONGS_EQUAL(2, closeKey(Table, "k", key_state::Answered, {200, "", "x"})
-                     .size());
+  LONGS_EQUAL(2,
+              closeKey(Table, "k", key_state::Answered, {200, "", "x"}).size());
   CHECK(key_verdict::Replay == admitKey(Table, "k", Expiry, 3, Limits, Now));
 }
 
@@ -76,8 +76,8 @@
   owner_table Table;
   CHECK(key_verdict::NotRun ==
         admitKey(Table, "k", Expiry, 1, Limits, Expiry + 1));
-  CHECK(key_verdict::Unknown == admitKey(Table, "k", Expiry, 1, Limits,
-                                         Expiry + Limits.MaxDelayMs));
+  CHECK(key_verdict::Unknown ==
+        admitKey(Table, "k", Expiry, 1, Limits, Expiry + Limits.MaxDelayMs));
   witness_table Witness;
   CHECK(!recordAtWitness(Witness, "k", Expiry, Limits, Expiry));
   CHECK(outcome::Unknown == sealAtWitness(Witness, "k", Expiry, Limits,
--- a/Tests/parts_test.cpp
+++ b/Tests/parts_test.cpp
@@ -203,16 +203,16 @@
     membershipTick(Membership, Time);
   CHECK(!isUp(Membership, "control/b"));
   LONGS_EQUAL(1, downMembers(Membership).size());
-  handleMembershipMessage(
-      Membership, "control/b",
-      {membership_message::kind::Ping, "control/a", {}, {}}, Time);
+  handleMembershipMessage(Membership, "control/b",
+                          {membership_message::kind::Ping, "control/a", {}, {}},
+                          Time);
   CHECK(isUp(Membership, "control/b"));
   LONGS_EQUAL(0, downMembers(Membership).size());
 }
 
 TEST(Parts, AContractsFaultsAreAllNamed) {
-  const auto Contract = parseContract(
-      R"({"customer":"","weight":0,"priority":"x","speed":1})");
+  const auto Contract =
+      parseContract(R"({"customer":"","weight":0,"priority":"x","speed":1})");
   CHECK(!Contract.has_value());
   for (const char *Field : {"customer", "weight", "priority", "speed"})
     CHECK(Contract.error().Message.find(Field) != std::string::npos);
--- a/Utilities/PolicyBench/main.cpp
+++ b/Utilities/PolicyBench/main.cpp
@@ -118,8 +118,7 @@
       {"gateway cut off", {fault::CutGateway}},
       {"entries lose a gateway", {fault::CutEntries}},
       {"platform away", {fault::PlatformOutage}},
-      {"killed, platform away",
-       {fault::KillGateway, fault::PlatformOutage}},
+      {"killed, platform away", {fault::KillGateway, fault::PlatformOutage}},
       {"answers lost", {fault::LostAnswers}},
       {"shedding", {fault::Shedding}}};
   char Title[80];
