--- a/Libraries/Entry/entry.cpp
+++ b/Libraries/Entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "Entry/entry.h"
 
 #include <algorithm>
+#include <span>
 
 namespace amaranthhoist {
 
@@ -25,20 +26,21 @@
          std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
 
-std::vector<offer> candidateOffers(entry_node &Node,
-                                   const std::string &Customer,
-                                   const std::string &Service, instant Now) {
+std::vector<const offer *> candidateOffers(entry_node &Node,
+                                           const std::string &Customer,
+                                           const std::string &Service,
+                                           instant Now) {
   const contract *Contract = findContract(Node, Customer);
   auto Known = Node.Offers.find(Service);
   if (!Contract || Known == Node.Offers.end())
     return {};
-  std::vector<offer> Offers;
+  std::vector<const offer *> Offers;
   std::set<std::string> Sites;
   for (const auto &[Gateway, Offer] : Known->second) {
     if (!permits(Contract->Regions, Offer.Region) ||
         Node.DrainingSites.contains(Offer.Site))
       continue;
-    Offers.push_back(Offer);
+    Offers.push_back(&Offer);
     Sites.insert(Offer.Site);
   }
   const std::vector<std::string> SiteList(Sites.begin(), Sites.end());
@@ -46,21 +48,27 @@
                     Node.Settings.Routing, Now, Node.Random);
 }
 
+/// The best offer for a witness of \p Owner: the same region keeps the round
+/// trip before each send short.
+static const offer *findWitness(std::span<const offer *const> Ranked,
+                                const offer &Owner) {
+  for (const offer *Witness : Ranked)
+    if (!Witness->Suspect && Witness->Region == Owner.Region &&
+        Witness->FailureDomain != Owner.FailureDomain)
+      return Witness;
+  return nullptr;
+}
+
 result<home_token> chooseHome(entry_node &Node, const std::string &Customer,
                               const std::string &Service,
                               std::int64_t ExpiresAtMs, instant Now) {
-  const std::vector<offer> Ranked =
+  const std::vector<const offer *> Ranked =
       candidateOffers(Node, Customer, Service, Now);
-  for (const offer &Owner : Ranked) {
-    if (Owner.Suspect)
+  for (const offer *Owner : Ranked) {
+    if (Owner->Suspect)
       continue;
-    for (const offer &Witness : Ranked) {
-      // The same region keeps the round trip before each send short.
-      if (Witness.Suspect || Witness.Region != Owner.Region ||
-          Witness.FailureDomain == Owner.FailureDomain)
-        continue;
-      return home_token{Owner.Gateway, Witness.Gateway, ExpiresAtMs};
-    }
+    if (const offer *Witness = findWitness(Ranked, *Owner))
+      return home_token{Owner->Gateway, Witness->Gateway, ExpiresAtMs};
   }
   return fail(error_code::NotFound, "no region has an owner and a witness");
 }
@@ -139,9 +147,14 @@
 
 static void startIdempotent(entry_node &Node, entry_work &Work, instant Now,
                             actions &Actions) {
-  for (const offer &Offer :
-       candidateOffers(Node, Work.Request.Customer, Work.Request.Service, Now))
-    Work.Candidates.push_back(Offer.Gateway);
+  // More than can be tried are of no use.
+  const auto Wanted = static_cast<std::size_t>(Node.Settings.MaxForwards);
+  for (const offer *Offer : candidateOffers(
+           Node, Work.Request.Customer, Work.Request.Service, Now)) {
+    if (Work.Candidates.size() >= Wanted)
+      break;
+    Work.Candidates.push_back(Offer->Gateway);
+  }
   if (Work.Candidates.empty()) {
     finish(Node, Work.Request.Token, outcome::Refused,
            "no site serves this now", comeBack(Node, Work.Request), Actions);
--- a/Libraries/Entry/entry.h
+++ b/Libraries/Entry/entry.h
@@ -178,10 +178,11 @@
                                     instant Now);
 
 /// Offers that \p Customer may use for \p Service now, best first. Draws from
-/// the node's random numbers.
-std::vector<offer> candidateOffers(entry_node &Node,
-                                   const std::string &Customer,
-                                   const std::string &Service, instant Now);
+/// the node's random numbers. Points into the node.
+std::vector<const offer *> candidateOffers(entry_node &Node,
+                                           const std::string &Customer,
+                                           const std::string &Service,
+                                           instant Now);
 
 /// A home for a new key: the best gateway as owner and, as witness, one of the
 /// same region that runs in another failure domain. NotFound when there are no
--- a/Libraries/Routing/routing.cpp
+++ b/Libraries/Routing/routing.cpp
@@ -45,27 +45,43 @@
   return static_cast<double>(std::max<std::int64_t>(Offer.FreeUnits, 0)) + 0.1;
 }
 
-std::vector<offer> rankOffers(std::span<const offer> Offers,
-                              std::string_view Customer,
-                              std::string_view PreferredSite,
-                              const routing_policy &Policy, instant Now,
-                              std::mt19937_64 &Random) {
-  std::vector<offer> Ranked(Offers.begin(), Offers.end());
-  const auto Cost = [&](const offer &Offer) {
-    const duration Base =
-        offerCost(Offer, Customer, PreferredSite, Policy, Now);
-    return Offer.Suspect ? Base + std::chrono::hours(1) : Base;
-  };
-  std::sort(Ranked.begin(), Ranked.end(),
-            [&](const offer &Left, const offer &Right) {
-              return Cost(Left) < Cost(Right);
-            });
+/// Sorted by cost, each computed once.
+static std::vector<const offer *>
+sortByCost(std::span<const offer *const> Offers, std::string_view Customer,
+           std::string_view PreferredSite, const routing_policy &Policy,
+           instant Now) {
+  std::vector<std::pair<duration, const offer *>> Costs;
+  Costs.reserve(Offers.size());
+  for (const offer *Offer : Offers) {
+    duration Cost = offerCost(*Offer, Customer, PreferredSite, Policy, Now);
+    if (Offer->Suspect)
+      Cost += std::chrono::hours(1);
+    Costs.emplace_back(Cost, Offer);
+  }
+  std::stable_sort(Costs.begin(), Costs.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  std::vector<const offer *> Sorted;
+  Sorted.reserve(Costs.size());
+  for (const auto &[Cost, Offer] : Costs)
+    Sorted.push_back(Offer);
+  return Sorted;
+}
+
+std::vector<const offer *> rankOffers(std::span<const offer *const> Offers,
+                                      std::string_view Customer,
+                                      std::string_view PreferredSite,
+                                      const routing_policy &Policy, instant Now,
+                                      std::mt19937_64 &Random) {
+  std::vector<const offer *> Ranked =
+      sortByCost(Offers, Customer, PreferredSite, Policy, Now);
   if (Ranked.size() < 2 || Policy.Choice == offer_choice::Cheapest)
     return Ranked;
   std::vector<double> Weights;
   Weights.reserve(Ranked.size());
-  for (const offer &Offer : Ranked)
-    Weights.push_back(drawWeight(Offer, Policy, Now));
+  for (const offer *Offer : Ranked)
+    Weights.push_back(drawWeight(*Offer, Policy, Now));
   std::discrete_distribution<std::size_t> Draw(Weights.begin(), Weights.end());
   // Sorted by cost, so the smaller index is the cheaper of the two.
   const std::size_t Chosen = std::min(Draw(Random), Draw(Random));
--- a/Libraries/Routing/routing.h
+++ b/Libraries/Routing/routing.h
@@ -60,12 +60,13 @@
                           std::string_view Customer);
 
 /// Offers in the order to try. Two are drawn weighted by free units; the
-/// cheaper goes first; the rest follow by cost. \p Random is the caller's.
-std::vector<offer> rankOffers(std::span<const offer> Offers,
-                              std::string_view Customer,
-                              std::string_view PreferredSite,
-                              const routing_policy &Policy, instant Now,
-                              std::mt19937_64 &Random);
+/// cheaper goes first; the rest follow by cost. \p Random is the caller's. The
+/// result points to what \p Offers points to.
+std::vector<const offer *> rankOffers(std::span<const offer *const> Offers,
+                                      std::string_view Customer,
+                                      std::string_view PreferredSite,
+                                      const routing_policy &Policy, instant Now,
+                                      std::mt19937_64 &Random);
 
 /// State of one backend server at a gateway.
 struct target_state {
--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -369,11 +369,11 @@
   entry_shard &Shard = shardOf(Customer);
   const std::lock_guard Guard(Shard.Lock);
   entry_node &Node = Shard.Node;
-  const std::vector<offer> Ranked =
+  const std::vector<const offer *> Ranked =
       candidateOffers(Node, Customer, Service, Now);
   std::set<std::string> Sites;
-  for (const offer &Offer : Ranked)
-    Sites.insert(Offer.Site);
+  for (const offer *Offer : Ranked)
+    Sites.insert(Offer->Site);
   const std::vector<std::string> SiteList(Sites.begin(), Sites.end());
   const std::string Preferred = preferredSite(SiteList, Customer);
   json Result = {{"customer", Customer},
@@ -381,18 +381,18 @@
                  {"contract", Node.Contracts.contains(Customer)},
                  {"preferred_site", Preferred},
                  {"offers", json::array()}};
-  for (const offer &Offer : Ranked)
+  for (const offer *Offer : Ranked)
     Result["offers"].push_back(
-        {{"site", Offer.Site},
-         {"gateway", Offer.Gateway},
-         {"free_units", Offer.FreeUnits},
+        {{"site", Offer->Site},
+         {"gateway", Offer->Gateway},
+         {"free_units", Offer->FreeUnits},
          {"cost_us",
-          offerCost(Offer, Customer, Preferred, Node.Settings.Routing, Now)
+          offerCost(*Offer, Customer, Preferred, Node.Settings.Routing, Now)
               .count()},
          {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                        Now - Offer.Heard)
+                        Now - Offer->Heard)
                         .count()},
-         {"suspect", Offer.Suspect}});
+         {"suspect", Offer->Suspect}});
   return Result.dump();
 }
 
--- a/Services/Entry/entry_daemon.h
+++ b/Services/Entry/entry_daemon.h
@@ -115,6 +115,7 @@
   bool isReady();
 
 private:
+  std::vector<named_entry> nearestEntries(const std::string &Client);
   entry_shard &shardOf(const std::string &Customer);
   void step(entry_shard &Shard, const entry_event &Event);
   void stepAll(const entry_event &Event);
--- a/Services/Entry/entry_view.cpp
+++ b/Services/Entry/entry_view.cpp
@@ -5,6 +5,7 @@
 #include "Logging/logging.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace amaranthhoist {
 
@@ -84,26 +85,31 @@
     Ready = true;
 }
 
+/// Near ones first; within a region in an order of the client's own, so that
+/// clients spread and each stays with its entry.
+std::vector<named_entry>
+entry_daemon::nearestEntries(const std::string &Client) {
+  using ranked_entry = std::tuple<bool, std::uint64_t, const named_entry *>;
+  std::vector<ranked_entry> Ranked;
+  const std::lock_guard Guard(EntriesLock);
+  Ranked.reserve(Entries.size());
+  for (const named_entry &Entry : Entries)
+    Ranked.emplace_back(Entry.Region != Settings.Region,
+                        stableHash(Client, stableHash(Entry.Instance)), &Entry);
+  const std::size_t Count = std::min(Ranked.size(), NamedEntries);
+  std::partial_sort(Ranked.begin(), Ranked.begin() + static_cast<long>(Count),
+                    Ranked.end());
+  std::vector<named_entry> Nearest;
+  for (std::size_t Place = 0; Place < Count; ++Place)
+    Nearest.push_back(*std::get<const named_entry *>(Ranked[Place]));
+  return Nearest;
+}
+
 lookup_answer entry_daemon::lookUp(const std::string &Customer,
                                    const std::string &Service,
                                    const std::string &Client) {
   lookup_answer Answer;
-  {
-    const std::lock_guard Guard(EntriesLock);
-    Answer.Entries = Entries;
-  }
-  // Near ones first; within a region in an order of the client's own, so that
-  // clients spread and each stays with its entry.
-  const auto Rank = [&](const named_entry &Entry) {
-    return std::make_pair(
-        Entry.Region != Settings.Region,
-        stableHash(Client + "/" + Customer, stableHash(Entry.Instance)));
-  };
-  std::sort(Answer.Entries.begin(), Answer.Entries.end(),
-            [&](const named_entry &Left, const named_entry &Right) {
-              return Rank(Left) < Rank(Right);
-            });
-  Answer.Entries.resize(std::min(Answer.Entries.size(), NamedEntries));
+  Answer.Entries = nearestEntries(Client + "/" + Customer);
   // Jitter, so that callers' answers don't run out together.
   const std::int64_t Ttl = Settings.Entry.LookupTtlMs;
   const auto Spread = static_cast<std::int64_t>(
--- a/Utilities/PathBenchmark/main.cpp
+++ b/Utilities/PathBenchmark/main.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr int WarmUp = 1'500;
+
 /// One measured way.
 struct way {
   const char *Name;
@@ -87,6 +89,9 @@
   http_client Third;
   http_client Fourth;
   const std::string Home = homeFrom(Entry);
+  // The stand-ins are cold at first, each of their slots once.
+  for (int Number = 0; Number < WarmUp; ++Number)
+    Second.call(Path.Call);
   for (int Number = 0; Number < Count; ++Number) {
     measureOnce(First, Direct);
     measureOnce(Second, Path);
