--- a/Tests/Processes/failures.sh
+++ b/Tests/Processes/failures.sh
@@ -100,9 +100,37 @@
   sleep 2
 }
 
+# Symptom: one operator's change is lost without a word. Sequence: two change the
+# same contract from the same version at once; exactly one may be accepted.
+scenario_operators_race() {
+  local version accepted=0 first second
+  version=$($cli contract get customer-9 --output json | sed -n 's/.*"version": \([0-9]*\).*/\1/p')
+  printf '{"customer":"customer-9","requests_per_second":2001,"concurrency":500}' >"$work/first.json"
+  printf '{"customer":"customer-9","requests_per_second":2002,"concurrency":500}' >"$work/second.json"
+  $cli contract apply "$work/first.json" --base "$version" --wait & first=$!
+  $cli contract apply "$work/second.json" --base "$version" --wait & second=$!
+  wait $first && accepted=$((accepted + 1)) || true
+  wait $second && accepted=$((accepted + 1)) || true
+  [ $accepted = 1 ] || { echo "$accepted of two racing changes were accepted"; failed=$((failed + 1)); }
+  # A write whose answer is lost is told from a write that wasn't made.
+  break_platform "lose_answers=1"
+  $cli contract apply "$work/second.json" --wait ||
+    { echo "a write that took effect was not recognised"; failed=$((failed + 1)); }
+}
+
+# Symptom: a region's load lands on the others at once. Sequence: all daemons of
+# a region die together, and come back together.
+scenario_region_lost() {
+  local n daemon
+  for n in 0 3; do for daemon in entry gateway control; do kill_daemon $daemon $n; done; done
+  sleep 2
+  for n in 0 3; do for daemon in control gateway entry; do start_daemon $daemon $n; done; done
+  sleep 2
+}
+
 scenarios=(gateway_killed gateway_frozen platform_away writes_lose_answers
            entry_killed answers_lost_and_crossed target_leaves_by_health
-           controls_killed)
+           controls_killed operators_race region_lost)
 [ $# = 0 ] || scenarios=("$@")
 
 deploy mandap
--- a/Tests/Scheduler/world.cpp
+++ b/Tests/Scheduler/world.cpp
@@ -81,6 +81,8 @@
   void onGateway(int Number, std::int64_t Incarnation, const action &Action);
   void stepNode(int Number, const gateway_event &Event);
   void perform(int Number, const gateway_action &Action);
+  void cutOff(std::uint64_t Token);
+  void drainAll(bool Draining);
   void performSend(int Number, const send_to_target &Action);
   void performPeer(int Number, const send_to_peer &Action);
   void performWrite(int Number, const write_record &Action);
@@ -283,6 +285,31 @@
     performWrite(Number, *Write);
   else if (const auto *Finish = std::get_if<finish_request>(&Action))
     answerEntry(Number, *Finish);
+  else if (const auto *Cancel = std::get_if<cancel_at_target>(&Action))
+    cutOff(Cancel->Token);
+}
+
+/// Callers don't go away here, so whatever is cancelled was cut off.
+void world::cutOff(std::uint64_t Token) {
+  const std::string Operation = Routes[Token].Operation->Name;
+  for (recorded_execution &Execution : Result.History.Executions)
+    if (Execution.Operation == Operation && Execution.End > Now)
+      Execution.EndedAs = execution_end::CutOff;
+}
+
+void world::drainAll(bool Draining) {
+  for (gateway_process &Process : Gateways) {
+    if (!Process.Alive)
+      continue;
+    stepNode(Process.Number, drain_changed{Draining, false});
+    if (Options.Sabotage != sabotage::DrainCancels)
+      continue;
+    std::vector<std::uint64_t> Tokens;
+    for (const auto &[Token, Item] : Process.Node.Work)
+      Tokens.push_back(Token);
+    for (const std::uint64_t Token : Tokens)
+      stepNode(Process.Number, request_cancelled{Token});
+  }
 }
 
 void world::performSend(int Number, const send_to_target &Action) {
@@ -613,16 +640,8 @@
   }
   Pool.LosesAnswers = has(fault::LostWrites);
   if (has(fault::DrainSite)) {
-    at(Begin, [this] {
-      for (int Number = 0; Number < GatewayCount; ++Number)
-        if (Gateways[static_cast<std::size_t>(Number)].Alive)
-          stepNode(Number, drain_changed{true, false});
-    });
-    at(End, [this] {
-      for (int Number = 0; Number < GatewayCount; ++Number)
-        if (Gateways[static_cast<std::size_t>(Number)].Alive)
-          stepNode(Number, drain_changed{false, false});
-    });
+    at(Begin, [this] { drainAll(true); });
+    at(End, [this] { drainAll(false); });
   }
   if (has(fault::TargetLeaves))
     at(Begin, [this] {
--- a/Tests/Scheduler/world.h
+++ b/Tests/Scheduler/world.h
@@ -66,6 +66,8 @@
   ReclaimAtOnce,
   /// Nobody heeds that a target leaves.
   LeavingIgnored,
+  /// A drain cancels the work that is in progress.
+  DrainCancels,
 };
 
 struct world_options {
--- a/Tests/promises_test.cpp
+++ b/Tests/promises_test.cpp
@@ -157,3 +157,7 @@
   CHECK(isCaught(sabotage::LeavingIgnored, {fault::TargetLeaves},
                  promise::LeavingTarget));
 }
+TEST(Promises, WithADrainThatCancelsTheCheckerSeesWorkCutOff) {
+  CHECK(isCaught(sabotage::DrainCancels, {fault::DrainSite},
+                 promise::DrainCutsNothing));
+}
--- a/Utilities/Caller/caller.cpp
+++ b/Utilities/Caller/caller.cpp
@@ -11,6 +11,8 @@
 
 static constexpr std::int64_t DeadlineMs = 15'000;
 static constexpr int MaxTries = 40;
+static constexpr int RefusalsPerKey = 3;
+static constexpr int RefusalsInRow = 10;
 static constexpr std::int64_t MaxPauseMs = 400;
 
 std::vector<request_kind> mixOf(const std::string &Deployment) {
@@ -126,6 +128,9 @@
 void caller::request(const request_kind &Kind) {
   const std::string Id = Customer + "-" + std::to_string(++Serial);
   std::string Key;
+  // Copies of the key that were refused, while no other was under way.
+  int OnlyRefused = 0;
+  int RefusedInRow = 0;
   for (int Try = 0; Try < MaxTries; ++Try) {
     if (!refreshLookup(Kind.Service)) {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
@@ -172,11 +177,23 @@
     }
     if (Outcome == "answered")
       return;
-    // Told that it was not run: a new key from a new look-up. Anything else
-    // keeps its key.
-    if (Outcome == "not-run")
+    // Told that it was not run: a new key from a new look-up. The same when
+    // every copy sent was refused, since none of them went any further: the
+    // key's home may be gone for good. Anything else keeps its key.
+    OnlyRefused = Outcome == "refused" && OnlyRefused >= 0 ? OnlyRefused + 1
+                                                           : -1;
+    RefusedInRow = Outcome == "refused" ? RefusedInRow + 1 : 0;
+    // An earlier copy may have run and the home is gone: unknown for good.
+    if (Kind.Keyed && OnlyRefused < 0 && RefusedInRow >= RefusalsInRow) {
+      const std::lock_guard Guard(Report.Lock);
+      Report.Keys[Key].Outcome = "unknown";
+      return;
+    }
+    if (Outcome == "not-run" || OnlyRefused >= RefusalsPerKey) {
       Key.clear();
-    if (Outcome != "refused")
+      OnlyRefused = 0;
+    }
+    if (Outcome != "refused" || OnlyRefused == 0)
       Lookups[Kind.Service].GoodUntilMs = 0;
     const std::int64_t Pause =
         std::atoll(headerOr(Result.Headers, "x-retry-after-ms").c_str());
