--- a/Libraries/Entry/entry.cpp
+++ b/Libraries/Entry/entry.cpp
@@ -149,8 +149,8 @@
                             actions &Actions) {
   // More than can be tried are of no use.
   const auto Wanted = static_cast<std::size_t>(Node.Settings.MaxForwards);
-  for (const offer *Offer : candidateOffers(
-           Node, Work.Request.Customer, Work.Request.Service, Now)) {
+  for (const offer *Offer : candidateOffers(Node, Work.Request.Customer,
+                                            Work.Request.Service, Now)) {
     if (Work.Candidates.size() >= Wanted)
       break;
     Work.Candidates.push_back(Offer->Gateway);
--- a/Libraries/History/history.cpp
+++ b/Libraries/History/history.cpp
@@ -81,20 +81,29 @@
   }
 }
 
+/// Name of the link that a site's requests from \p Region take.
+static std::string linkName(const std::string &Site,
+                            const std::string &Region) {
+  std::string Name = Site;
+  return Name.append(" from ").append(Region);
+}
+
 static void checkRegion(const history &History, violations &Found) {
   usage Slots;
   usage Links;
   for (const recorded_execution &Execution : History.Executions) {
     addUse(Slots, Execution.Target, Execution.Start, Execution.End, 1);
-    addUse(Links, Execution.Site + " from " + Execution.SourceRegion,
+    addUse(Links, linkName(Execution.Site, Execution.SourceRegion),
            Execution.Start, Execution.End, 1);
   }
   for (const auto &[Target, Limit] : History.TargetSlots)
     checkUsage(Slots[Target], Limit, promise::Region, Target, Found);
-  for (const auto &[Site, Limits] : History.Sites)
-    for (const auto &[Region, Limit] : Limits.LinkLimits)
-      checkUsage(Links[Site + " from " + Region], Limit, promise::Region,
-                 Site + " from " + Region, Found);
+  for (const auto &[Site, Limits] : History.Sites) {
+    for (const auto &[Region, Limit] : Limits.LinkLimits) {
+      const std::string Link = linkName(Site, Region);
+      checkUsage(Links[Link], Limit, promise::Region, Link, Found);
+    }
+  }
 }
 
 static void checkAnswers(const history &History, violations &Found) {
--- a/Tests/Scheduler/world.cpp
+++ b/Tests/Scheduler/world.cpp
@@ -57,7 +57,9 @@
 
   // Time and messages.
   void at(instant Time, action Action);
-  void after(duration Delay, action Action) { at(Now + Delay, Action); }
+  void after(duration Delay, action Action) {
+    at(Now + Delay, std::move(Action));
+  }
   void repeat(duration Period, const action &Action);
   int draw(int Bound) {
     return static_cast<int>(Random() % static_cast<std::uint64_t>(Bound));
--- a/Tests/parts_test.cpp
+++ b/Tests/parts_test.cpp
@@ -85,6 +85,7 @@
     Blocks[(Chunk << 20) + static_cast<std::uint32_t>(Random() % (1U << 20))] =
         static_cast<std::uint16_t>(Random() % 590);
   std::vector<client_block> List;
+  List.reserve(Blocks.size());
   for (const auto &[First, Group] : Blocks)
     List.push_back({First, Group});
   CHECK(applyChunk(Map, Chunk, 5, List).value());
--- a/Utilities/Caller/caller.cpp
+++ b/Utilities/Caller/caller.cpp
@@ -180,8 +180,8 @@
     // Told that it was not run: a new key from a new look-up. The same when
     // every copy sent was refused, since none of them went any further: the
     // key's home may be gone for good. Anything else keeps its key.
-    OnlyRefused = Outcome == "refused" && OnlyRefused >= 0 ? OnlyRefused + 1
-                                                           : -1;
+    OnlyRefused =
+        Outcome == "refused" && OnlyRefused >= 0 ? OnlyRefused + 1 : -1;
     RefusedInRow = Outcome == "refused" ? RefusedInRow + 1 : 0;
     // An earlier copy may have run and the home is gone: unknown for good.
     if (Kind.Keyed && OnlyRefused < 0 && RefusedInRow >= RefusalsInRow) {
--- a/Utilities/Capacity/measure_fleet.cpp
+++ b/Utilities/Capacity/measure_fleet.cpp
@@ -193,6 +193,7 @@
     Options.Regions = Regions;
     fleet_loop Fleet(Options);
     std::vector<item> Items;
+    Items.reserve(static_cast<std::size_t>(Count));
     for (int Number = 0; Number < Count; ++Number)
       Items.push_back({"contract/" + std::to_string(Number), Number + 1, false,
                        std::string(220, 'x')});
--- a/Utilities/Capacity/measure_state.cpp
+++ b/Utilities/Capacity/measure_state.cpp
@@ -24,6 +24,7 @@
   const int PerChunk = Blocks / static_cast<int>(ClientChunks);
   for (std::size_t Chunk = 0; Chunk < ClientChunks; ++Chunk) {
     std::vector<client_block> Made;
+    Made.reserve(static_cast<std::size_t>(PerChunk));
     const std::uint32_t Base = static_cast<std::uint32_t>(Chunk) << 20;
     const std::uint32_t Step =
         (1U << 20) / static_cast<std::uint32_t>(PerChunk);
@@ -67,6 +68,7 @@
 
 static std::vector<item> makeItems(int Count) {
   std::vector<item> Items;
+  Items.reserve(static_cast<std::size_t>(Count));
   for (int Number = 0; Number < Count; ++Number)
     Items.push_back({"contract/customer-" + std::to_string(Number), Number + 1,
                      false, std::string(220, 'x')});
--- a/Utilities/PathBenchmark/main.cpp
+++ b/Utilities/PathBenchmark/main.cpp
@@ -60,8 +60,7 @@
   const double Most = percentile(Way.Microseconds, 0.99);
   std::printf("  %-26s p50 %7.0f us, p99 %7.0f us, over direct %+7.0f and "
               "%+7.0f us, ratio %.2f and %.2f, failures %d\n",
-              Way.Name, Half, Most,
-              Half - percentile(Direct.Microseconds, 0.5),
+              Way.Name, Half, Most, Half - percentile(Direct.Microseconds, 0.5),
               Most - percentile(Direct.Microseconds, 0.99),
               Half / percentile(Direct.Microseconds, 0.5),
               Most / percentile(Direct.Microseconds, 0.99), Way.Failures);
@@ -74,8 +73,7 @@
   Direct.Call.Url = "http://" + Backend + "/dates/1?work_ms=0";
   Direct.Call.Headers["X-Request-Id"] = "direct";
   way Path{"through, idempotent", {}, {}};
-  Path.Call.Url =
-      "http://" + Entry + "/v1/run/enquiry-desk/dates/1?work_ms=0";
+  Path.Call.Url = "http://" + Entry + "/v1/run/enquiry-desk/dates/1?work_ms=0";
   Path.Call.Headers["X-Customer"] = "customer-1";
   way DirectNew = Direct;
   DirectNew.Name = "direct, new connection";
@@ -96,9 +94,9 @@
     measureOnce(First, Direct);
     measureOnce(Second, Path);
     measureOnce(Third, DirectNew);
-    Keyed.Call.Headers["Idempotency-Key"] =
-        Home + ".bench-" + std::to_string(Number) + "-" +
-        std::to_string(currentWallMs());
+    Keyed.Call.Headers["Idempotency-Key"] = Home + ".bench-" +
+                                            std::to_string(Number) + "-" +
+                                            std::to_string(currentWallMs());
     measureOnce(Fourth, Keyed);
   }
   printWay(Direct, Direct);
@@ -111,6 +109,7 @@
                  int Seconds) {
   std::atomic<std::int64_t> Done = 0;
   std::vector<std::thread> Running;
+  Running.reserve(static_cast<std::size_t>(Threads));
   const instant Until = currentInstant() + std::chrono::seconds(Seconds);
   for (int Thread = 0; Thread < Threads; ++Thread)
     Running.emplace_back([&] {
@@ -146,9 +145,8 @@
                     "/v1/entries?customer=customer-1&service=enquiry-desk",
                 4, 3);
     measureRate("requests",
-                "http://" + Entry +
-                    "/v1/run/enquiry-desk/dates/1?work_ms=0",
-                8, 3);
+                "http://" + Entry + "/v1/run/enquiry-desk/dates/1?work_ms=0", 8,
+                3);
     return exit_codes::Success;
   } catch (const cxxopts::exceptions::exception &Exception) {
     std::cerr << Exception.what() << "\n";
