--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -5,10 +5,14 @@
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <random>
 
 namespace amaranthhoist {
 
-static constexpr const char *Version = "0.1.0";
+std::string makeOperationId() {
+  std::random_device Device;
+  return std::to_string(Device()) + "-" + std::to_string(Device());
+}
 
 void blockStopSignals() {
   sigset_t Set;
@@ -62,7 +66,7 @@
       return exit_codes::Success;
     }
     if (Parsed.count("version") != 0) {
-      std::cout << Name << " " << Version << "\n";
+      std::cout << Name << " " << ProgramVersion << "\n";
       return exit_codes::Success;
     }
     if (Parsed.count("settings") == 0) {
--- a/Libraries/Daemon/daemon.h
+++ b/Libraries/Daemon/daemon.h
@@ -23,6 +23,12 @@
     int ArgumentCount, char **Arguments, const std::string &Name,
     const std::function<result<bool>(const instance_settings &)> &Run);
 
+/// Version of all programs.
+inline constexpr const char *ProgramVersion = "0.1.0";
+
+/// A random name that tells whose write an object is after a lost answer.
+std::string makeOperationId();
+
 /// Blocks SIGTERM and SIGINT, so that only waitForStop() takes them. Called
 /// before any thread is made.
 void blockStopSignals();
--- a/Services/Control/control_daemon.cpp
+++ b/Services/Control/control_daemon.cpp
@@ -1,5 +1,6 @@
 #include "control_daemon.h"
 
+#include "Daemon/daemon.h"
 #include "Logging/logging.h"
 #include "control_server.h"
 
@@ -20,7 +21,7 @@
     : Settings(Settings), Name(objectKey(kinds::Control, Settings.Instance)),
       Workers(PlatformThreads) {
   std::random_device Device;
-  OperationId = std::to_string(Device()) + "-" + std::to_string(Device());
+  OperationId = makeOperationId();
   Epoch = (static_cast<std::uint64_t>(Device()) << 32) | Device();
   Replica.Region = Settings.Region;
   Replica.Random.seed(Device());
--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "entry_daemon.h"
 
+#include "Daemon/daemon.h"
 #include "Logging/logging.h"
 #include "Rpc/byte_source.h"
 #include "caller_exchange.h"
@@ -23,11 +24,6 @@
 /// Beyond a request's deadline, so that the gateway's own answer comes first.
 static constexpr duration CallGrace = std::chrono::milliseconds(500);
 
-static std::string makeOperationId() {
-  std::random_device Device;
-  return std::to_string(Device()) + "-" + std::to_string(Device());
-}
-
 static link_identity identityOf(const instance_settings &Settings) {
   link_identity Identity;
   Identity.Key = objectKey(kinds::Entry, Settings.Instance);
--- a/Services/Gateway/gateway_daemon.cpp
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway_daemon.h"
 
+#include "Daemon/daemon.h"
 #include "Logging/logging.h"
 #include "Rpc/byte_source.h"
 #include "gateway_server.h"
@@ -14,11 +15,6 @@
 static constexpr std::size_t MaxWorkers = 1'024;
 static constexpr duration TickPeriod = std::chrono::milliseconds(50);
 
-static std::string makeOperationId() {
-  std::random_device Device;
-  return std::to_string(Device()) + "-" + std::to_string(Device());
-}
-
 static link_identity identityOf(const instance_settings &Settings) {
   link_identity Identity;
   Identity.Key = objectKey(kinds::Gateway, Settings.Instance);
--- a/Utilities/amaranthhoist/context.cpp
+++ b/Utilities/amaranthhoist/context.cpp
@@ -1,12 +1,12 @@
 #include "context.h"
 
+#include "Daemon/daemon.h"
 #include "Timers/timers.h"
 
 #include <algorithm>
 #include <fstream>
 #include <future>
 #include <iostream>
-#include <random>
 #include <sstream>
 
 namespace amaranthhoist {
@@ -172,11 +172,6 @@
   return Text.empty() ? "  (no difference)\n" : Text;
 }
 
-static std::string newOperationId() {
-  std::random_device Device;
-  return std::to_string(Device()) + std::to_string(Device());
-}
-
 static std::string stamped(const std::string &Value,
                            const std::string &Operation) {
   json Document = json::parse(Value, nullptr, false);
@@ -208,7 +203,7 @@
     return tl::unexpected(Current.error());
   const std::int64_t Known = Current ? Current->Version : 0;
   const std::int64_t Base = Context.Base >= 0 ? Context.Base : Known;
-  const std::string Operation = newOperationId();
+  const std::string Operation = makeOperationId();
   const std::string Stamped = Deleted ? "" : stamped(Value, Operation);
   result<std::int64_t> Version =
       Deleted ? Client.remove(Key, Base) : Client.put(Key, Stamped, Base);
--- a/Utilities/amaranthhoist/main.cpp
+++ b/Utilities/amaranthhoist/main.cpp
@@ -97,7 +97,7 @@
       return exit_codes::Success;
     }
     if (Parsed.count("version") != 0) {
-      std::cout << "amaranthhoist 0.1.0\n";
+      std::cout << "amaranthhoist " << ProgramVersion << "\n";
       return exit_codes::Success;
     }
     return runCommand(contextOf(Parsed));
