Http, Entry: pass a request's target on as it was sent

Found while reading as a newcomer: the target was decoded, its arguments sorted into a map and put together again, so %2F became a separator and a repeated argument was lost; a decoded line break could have reached the backend server's request line. Now what follows the service goes on unchanged. Refusals are now logged at info.

--- a/Libraries/Http/http.h
+++ b/Libraries/Http/http.h
@@ -26,7 +26,10 @@
 /// Everything of a request but its body.
 struct http_head {
   std::string Method;
+  /// Decoded.
   std::string Path;
+  /// Path and query as they were sent, for passing on.
+  std::string Target;
   std::map<std::string, std::string> Query;
   http_headers Headers;
   /// Socket of the caller, to see whether it went away.
--- a/Libraries/Http/server.cpp
+++ b/Libraries/Http/server.cpp
@@ -62,6 +62,7 @@
 
 /// What libmicrohttpd keeps for us per request.
 struct connection_state {
+  std::string Target;
   std::unique_ptr<http_exchange> Exchange;
 };
 
@@ -138,17 +139,24 @@
   return Response ? queueResponse(Connection, *Response) : MHD_YES;
 }
 
+/// Keeps the target as it was sent. Passed on decoded, "%2F" would become a
+/// path separator and a repeated argument would be lost.
+static void *noteTarget(void *, const char *Target, MHD_Connection *) {
+  auto State = std::make_unique<connection_state>();
+  State->Target = Target;
+  return State.release();
+}
+
 static MHD_Result handleAccess(void *Closure, MHD_Connection *Connection,
                                const char *Url, const char *Method,
                                const char *, const char *Data,
                                std::size_t *Size, void **PerRequest) {
   auto *State = static_cast<connection_state *>(*PerRequest);
-  if (!State) {
+  if (!State->Exchange) {
     const auto &Server = *static_cast<http_server *>(Closure);
-    auto Fresh = std::make_unique<connection_state>();
-    Fresh->Exchange = Server.factory()(readHead(Connection, Url, Method));
-    State = Fresh.release();
-    *PerRequest = State;
+    http_head Head = readHead(Connection, Url, Method);
+    Head.Target = State->Target;
+    State->Exchange = Server.factory()(std::move(Head));
     return answerOr(Connection, State->Exchange->begin());
   }
   if (*Size != 0) {
@@ -180,6 +188,7 @@
           MHD_USE_POLL | MHD_USE_ITC,
       Parsed.Port, nullptr, nullptr, handleAccess, Server.get(),
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&Bound),
+      MHD_OPTION_URI_LOG_CALLBACK, noteTarget, nullptr,
       MHD_OPTION_NOTIFY_COMPLETED, completed, nullptr,
       MHD_OPTION_CONNECTION_LIMIT, Options.MaxConnections,
       MHD_OPTION_CONNECTION_TIMEOUT, Options.IdleSeconds,
--- a/Services/Entry/caller_exchange.cpp
+++ b/Services/Entry/caller_exchange.cpp
@@ -3,6 +3,7 @@
 #include "Logging/logging.h"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -54,7 +55,7 @@
 }
 
 std::unique_ptr<http_response> caller_exchange::begin() {
-  if (Head.Path.starts_with(RunPrefix))
+  if (Head.Target.starts_with(RunPrefix))
     return beginRun();
   if (Head.Method != "GET")
     return malformed(405, "only GET is served here");
@@ -117,37 +118,30 @@
              : work_class::NonIdempotent;
 }
 
-/// Path and query as the backend server sees them.
-static std::string backendPath(const http_head &Head, std::size_t Begin) {
-  std::string Path = Head.Path.substr(Begin);
-  if (Path.empty())
-    Path = "/";
-  char Separator = '?';
-  for (const auto &[Name, Value] : Head.Query) {
-    Path.append(1, Separator).append(Name).append("=").append(Value);
-    Separator = '&';
-  }
-  return Path;
+/// Path and query as the backend server sees them: what follows the service,
+/// just as it was sent.
+static std::string backendPath(const std::string &Target, std::size_t Begin) {
+  const std::string Rest = Target.substr(Begin);
+  return Rest.starts_with("/") ? Rest : "/" + Rest;
 }
 
 std::unique_ptr<http_response> caller_exchange::beginRun() {
   if (!Daemon.isReady())
     return malformed(503, "this entry has no state yet; ask another one");
-  const std::size_t NameEnd = Head.Path.find('/', RunPrefix.size());
-  const std::size_t ServiceEnd =
-      NameEnd == std::string::npos ? Head.Path.size() : NameEnd;
+  const std::size_t ServiceEnd = std::min(
+      Head.Target.find_first_of("/?", RunPrefix.size()), Head.Target.size());
   Request = std::make_shared<entry_request>();
   caller_request &Work = Request->Request;
   Work.Token = Daemon.newToken();
   Work.RequestId = makeRequestId();
   Work.Service =
-      Head.Path.substr(RunPrefix.size(), ServiceEnd - RunPrefix.size());
+      Head.Target.substr(RunPrefix.size(), ServiceEnd - RunPrefix.size());
   Work.Customer = headerOr(Head.Headers, "x-customer");
   Work.Key = headerOr(Head.Headers, "idempotency-key");
   Work.Class = classOf(Head);
   Request->Method = Head.Method;
   Request->ContentType = headerOr(Head.Headers, "content-type");
-  Request->Path = backendPath(Head, ServiceEnd);
+  Request->Path = backendPath(Head.Target, ServiceEnd);
   if (Work.Service.empty() || Work.Service.size() > MaxNameLength)
     return malformed(400, "the path must be /v1/run/SERVICE/...");
   if (Work.Customer.empty() || Work.Customer.size() > MaxNameLength)
@@ -296,10 +290,12 @@
   const duration Took = currentInstant() - Arrived;
   Daemon.metrics().observeLatency(
       {Work.Customer, Work.Service, std::string(toString(End.Outcome))}, Took);
-  logLine(log_level::Debug, "request",
+  const bool Answered = End.Outcome == outcome::Answered;
+  logLine(Answered ? log_level::Debug : log_level::Info, "request",
           {{"request_id", Work.RequestId},
            {"customer", Work.Customer},
            {"service", Work.Service},
+           {"gateway", Request->Gateway},
            {"outcome", std::string(toString(End.Outcome))},
            {"reason", End.Reason},
            {"status", std::to_string(Status)},
--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -159,6 +159,7 @@
   entry_request &Held = *Found->second;
   const std::uint64_t Token = Action.Token;
   const std::string Address = addressOf(Action.Gateway);
+  Held.Gateway = Action.Gateway;
   // A long body can be sent once only.
   if (Address.empty() || (Held.Upload && Held.UploadTaken)) {
     step(Shard, gateway_failed{Token, Held.UploadTaken, false});
--- a/Services/Entry/entry_daemon.h
+++ b/Services/Entry/entry_daemon.h
@@ -40,6 +40,8 @@
   std::string Path;
   std::string ContentType;
   std::string Body;
+  /// Node that it was forwarded to last; its name holds the site.
+  std::string Gateway;
   /// A long body, while the caller still sends it.
   std::shared_ptr<byte_pipe> Upload;
   bool UploadTaken = false;
--- a/Tests/Processes/failures.sh
+++ b/Tests/Processes/failures.sh
@@ -128,9 +128,63 @@
   sleep 2
 }
 
+# Symptom: a planned restart cuts requests off. Sequence: a gateway and an entry
+# are asked to stop while callers use them; each has to finish its work, give up
+# its shares or its name, and end by itself.
+scenario_daemons_stopped() {
+  signal_daemon gateway 0 TERM
+  signal_daemon entry 1 TERM
+  wait "${pid_of[$name-gateway-0]}" || { echo "the gateway ended with $?"; failed=$((failed + 1)); }
+  wait "${pid_of[$name-entry-1]}" || { echo "the entry ended with $?"; failed=$((failed + 1)); }
+  grep -q '"complete": "yes"' "$work/$name-gateway-0.log" ||
+    { echo "the gateway did not give up its shares"; failed=$((failed + 1)); }
+  start_daemon gateway 0
+  start_daemon entry 1
+  sleep 1
+}
+
+expect_status() { # expect_status STATUS CURL_ARGUMENTS...
+  local wanted=$1 got; shift
+  got=$(curl -s -o /dev/null -m 5 -w '%{http_code}' "$@" || true)
+  [ "$got" = "$wanted" ] || { echo "got $got, wanted $wanted: $*"; failed=$((failed + 1)); }
+}
+
+in_progress() { curl -s "http://${entries[2]}/metrics" | awk '/^amaranthhoist_requests_in_progress/ {print $2}'; }
+
+# Symptom: bad input is passed on, or holds resources. Sequence: requests without
+# what they need, too large ones, an upload that is broken off, and a caller that
+# leaves while its request runs: it has to stop at the backend server too.
+scenario_callers_misbehave() {
+  local run=http://${entries[2]}/v1/run/enquiry-desk i
+  local customer='X-Customer: customer-1'
+  expect_status 400 "$run/dates/1"
+  expect_status 400 -H "$customer" -H 'X-Deadline-Ms: soon' "$run/dates/1"
+  expect_status 400 -H "$customer" -H 'X-Deadline-Ms: 0' "$run/dates/1"
+  expect_status 400 -H "$customer" -d x "$run/holds/1"
+  expect_status 400 -H "$customer" -H 'Idempotency-Key: no-home' -d x "$run/holds/1"
+  expect_status 400 -H "$customer" "http://${entries[2]}/v1/run/"
+  expect_status 404 "http://${entries[2]}/nothing"
+  expect_status 405 -X POST "http://${entries[2]}/v1/entries"
+  expect_status 400 "http://${entries[2]}/v1/entries"
+  expect_status 429 -H 'X-Customer: nobody' "$run/dates/1"
+  expect_status 413 -H "$customer" -H 'X-Idempotent: true' -H 'Content-Length: 99999999999' -X PUT -d x "$run/cells/1"
+  # Broken off in the middle of its upload.
+  printf 'PUT /v1/run/enquiry-desk/cells/1 HTTP/1.1\r\nHost: x\r\nX-Customer: customer-1\r\nX-Idempotent: true\r\nContent-Length: 500000\r\n\r\npart' \
+    >"/dev/tcp/${entries[2]%:*}/${entries[2]#*:}"
+  # Leaves while its request runs.
+  curl -s -m 0.5 -H "$customer" "$run/leaver/1?work_ms=20000" >/dev/null || true
+  wait $callers || failed=$((failed + 1))
+  for ((i = 0; i < 100; ++i)); do
+    [ "$(in_progress)" = 0 ] && [ "$($cli site status --output json | grep -c '"in_progress": 0')" = 6 ] && break
+    sleep 0.1
+  done
+  [ $i -lt 100 ] || { echo "requests of callers that left are held"; failed=$((failed + 1)); }
+  start_callers 1
+}
+
 scenarios=(gateway_killed gateway_frozen platform_away writes_lose_answers
            entry_killed answers_lost_and_crossed target_leaves_by_health
-           controls_killed operators_race region_lost)
+           controls_killed operators_race region_lost daemons_stopped callers_misbehave)
 [ $# = 0 ] || scenarios=("$@")
 
 deploy mandap
--- a/Utilities/benchmark.sh
+++ b/Utilities/benchmark.sh
@@ -32,3 +32,22 @@
 sleep 0.5
 echo "  500 idle connections: $((($(resident) - before) * 1024 / 500)) bytes each at the entry"
 for fd in "${descriptors[@]}"; do exec {fd}>&-; done
+
+# Memory of streaming answers: slow readers of long exports.
+gateways_kb() {
+  local n sum=0
+  for ((n = 0; n < instances; ++n)); do
+    sum=$((sum + $(awk '/VmRSS/ {print $2}' "/proc/${pid_of[$name-gateway-$n]}/status")))
+  done
+  echo $sum
+}
+before=$(resident) before_gateways=$(gateways_kb)
+readers=()
+for ((i = 0; i < 20; ++i)); do
+  curl -s --limit-rate 100k -m 6 -H 'X-Customer: customer-1' -H 'X-Deadline-Ms: 20000' \
+    "http://${entries[0]}/v1/run/pack-store/packs/$i?bytes=50000000" >/dev/null &
+  readers+=($!)
+done
+sleep 4
+echo "  20 streams of 50 MB, slow readers: $((($(resident) - before) / 20)) KB each at the entry, $((($(gateways_kb) - before_gateways) / 20)) KB each at the gateways"
+for pid in "${readers[@]}"; do wait "$pid" || true; done
