Capacity: say that the overhead of a call is assumed

Found on re-reading: the comment called the 200 bytes measured, while docs/CAPACITY.md says, rightly, that they are assumed. A comment only; no figure changes. Nothing was measured for it, and the page already lists that as missing.

--- a/Utilities/Capacity/fleet_loop.cpp
+++ b/Utilities/Capacity/fleet_loop.cpp
@@ -8,8 +8,8 @@
 
 static constexpr duration ComparePeriod = std::chrono::milliseconds(1'000);
 static constexpr duration MembershipPeriod = std::chrono::milliseconds(100);
-/// Beside the message itself: Cap'n Proto's call, return and finish, measured
-/// between two controls on loopback (docs/CAPACITY.md).
+/// Beside the message itself: Cap'n Proto's call, return and finish. Assumed,
+/// not measured (docs/CAPACITY.md).
 static constexpr std::int64_t CallOverhead = 200;
 
 static std::int64_t sizeOf(const replica_message &Message) {
