--- /dev/null
+++ b/Libraries/EventLog/event_log.cpp
@@ -0,0 +1,125 @@
+#include "EventLog/event_log.h"
+
+#include "Text/text.h"
+
+#include <ctime>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace amaranthhoist {
+
+/// Lines a second of each kind. Troubles and beliefs together fit a reader's
+/// day; successes are a sample, since metrics count them all.
+static constexpr std::array<std::uint32_t, LogKinds> Bounds = {50, 200, 100, 5,
+                                                               5};
+static constexpr std::array<std::string_view, LogKinds> KindNames = {
+    "process", "belief", "trouble", "success", "attempt"};
+/// Lines held before they are handed on, in bytes.
+static constexpr std::size_t FlushAt = 8'192;
+
+event_log::event_log(int Descriptor, std::string_view Identity)
+    : Descriptor(Descriptor), Identity(Identity) {
+  const int Flags = fcntl(Descriptor, F_GETFL);
+  if (Flags >= 0)
+    fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
+}
+
+bool event_log::admit(log_kind Kind, instant Now) {
+  const auto Index = static_cast<std::size_t>(Kind);
+  const std::int64_t NowSecond =
+      std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch())
+          .count();
+  if (NowSecond != Second) {
+    Second = NowSecond;
+    Written.fill(0);
+    tellLeftOut(Now);
+  }
+  if (Written[Index] >= Bounds[Index]) {
+    ++LeftOut[Index];
+    return false;
+  }
+  ++Written[Index];
+  return true;
+}
+
+void event_log::tellLeftOut(instant Now) {
+  for (std::size_t Index = 0; Index < LogKinds; ++Index) {
+    if (LeftOut[Index] == 0)
+      continue;
+    append("lines_left_out",
+           {{"kind", KindNames[Index]},
+            {"lines", static_cast<std::int64_t>(LeftOut[Index])}},
+           Now);
+    LeftOut[Index] = 0;
+  }
+}
+
+static void appendQuoted(std::string &Buffer, std::string_view Text) {
+  Buffer.push_back('"');
+  for (char Character : Text) {
+    const auto Code = static_cast<unsigned char>(Character);
+    if (Character == '"' || Character == '\\') {
+      Buffer.push_back('\\');
+      Buffer.push_back(Character);
+    } else if (Code < 0x20 || Code >= 0x7f) {
+      append(Buffer, "\\u");
+      appendHex(Buffer, Code, 4);
+    } else {
+      Buffer.push_back(Character);
+    }
+  }
+  Buffer.push_back('"');
+}
+
+static void appendValue(std::string &Buffer, const log_value &Value) {
+  if (const auto *Text = std::get_if<std::string_view>(&Value))
+    appendQuoted(Buffer, *Text);
+  else if (const auto *Number = std::get_if<std::int64_t>(&Value))
+    append(Buffer, *Number);
+  else if (const auto *Real = std::get_if<double>(&Value))
+    append(Buffer, *Real);
+  else
+    append(Buffer, std::get<bool>(Value) ? "true" : "false");
+}
+
+void event_log::append(std::string_view Event,
+                       std::initializer_list<log_entry> Fields, instant Now) {
+  timespec Wall{};
+  clock_gettime(CLOCK_REALTIME, &Wall);
+  amaranthhoist::append(Buffer, "{\"time_ms\":",
+                  Wall.tv_sec * 1'000 + Wall.tv_nsec / 1'000'000,
+                  ",\"steady_us\":", Now.time_since_epoch().count(),
+                  ",\"instance\":\"", Identity, "\",\"event\":\"", Event, "\"");
+  for (const log_entry &Field : Fields) {
+    amaranthhoist::append(Buffer, ",\"", Field.Name, "\":");
+    appendValue(Buffer, Field.Value);
+  }
+  Buffer.append("}\n");
+}
+
+void event_log::write(log_kind Kind, std::string_view Event,
+                      std::initializer_list<log_entry> Fields, instant Now) {
+  if (!admit(Kind, Now))
+    return;
+  append(Event, Fields, Now);
+  if (Buffer.size() >= FlushAt)
+    flush();
+}
+
+void event_log::flush() {
+  if (Buffer.empty())
+    return;
+  const ssize_t Taken = ::write(Descriptor, Buffer.data(), Buffer.size());
+  // A full pipe takes a part or nothing. The rest is dropped, whole lines of
+  // it are counted, and the torn one ends here, so that readers stay in step.
+  if (Taken < static_cast<ssize_t>(Buffer.size())) {
+    const std::size_t From = Taken > 0 ? static_cast<std::size_t>(Taken) : 0;
+    for (std::size_t At = From; At < Buffer.size(); ++At)
+      Dropped += Buffer[At] == '\n' ? 1 : 0;
+    Buffer = From > 0 ? "\n" : "";
+    return;
+  }
+  Buffer.clear();
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/HttpConnection/small_server.h
@@ -0,0 +1,55 @@
+/// Serves short answers to requests without bodies: look-ups, readiness and
+/// metrics. Every answer is made at once, from memory.
+#pragma once
+
+#include "EventLoop/event_loop.h"
+#include "EventLoop/socket.h"
+#include "Text/text.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhoist {
+
+struct small_answer {
+  int Status = 200;
+  std::string ContentType = "application/json";
+  std::string Body;
+};
+
+/// Makes the answer to a request for \p Path with its raw \p Query.
+using small_handler = std::function<small_answer(std::string_view Path,
+                                                 std::string_view Query)>;
+
+/// Value of \p Name in a raw query, percent-decoded; empty when absent.
+std::string queryValue(std::string_view Query, std::string_view Name);
+
+class small_connection;
+
+class small_server : private io_handler {
+public:
+  small_server(event_loop &Loop, small_handler Handler);
+  ~small_server() override;
+  small_server(const small_server &) = delete;
+  small_server &operator=(const small_server &) = delete;
+
+  result<bool> listen(const endpoint &Endpoint);
+
+private:
+  friend class small_connection;
+  void onEvent(const io_event &Event) override;
+  void retire(small_connection &Connection);
+
+  event_loop &Loop;
+  small_handler Handler;
+  int Listener = -1;
+  absl::flat_hash_map<small_connection *, std::unique_ptr<small_connection>>
+      Connections;
+  std::vector<std::unique_ptr<small_connection>> Retired;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -0,0 +1,272 @@
+#include "HttpMessage/http_message.h"
+
+#include "Text/text.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace amaranthhoist {
+
+message_head::field message_head::fieldAt(std::size_t Index) const {
+  const span &Span = Spans[Index];
+  const std::string_view All = Text;
+  return {All.substr(Span.Name, Span.NameSize),
+          All.substr(Span.Value, Span.ValueSize)};
+}
+
+std::optional<std::string_view>
+message_head::find(std::string_view Name) const {
+  for (std::size_t Index = 0; Index < Spans.size(); ++Index) {
+    const field Field = fieldAt(Index);
+    if (Field.Name.size() == Name.size() &&
+        equalsIgnoringCase(Field.Name, Name))
+      return Field.Value;
+  }
+  return std::nullopt;
+}
+
+std::size_t message_head::count(std::string_view Name) const {
+  std::size_t Count = 0;
+  for (std::size_t Index = 0; Index < Spans.size(); ++Index)
+    if (equalsIgnoringCase(fieldAt(Index).Name, Name))
+      ++Count;
+  return Count;
+}
+
+std::string_view message_head::method() const {
+  return http_method_str(static_cast<http_method>(Method));
+}
+
+/// The parser library's callbacks.
+struct message_reader::callbacks {
+  static message_reader &of(http_parser *Parser) {
+    return *static_cast<message_reader *>(Parser->data);
+  }
+  static int onTarget(http_parser *Parser, const char *At, std::size_t Size) {
+    of(Parser).Head.Target.append(At, Size);
+    return 0;
+  }
+  static int onName(http_parser *Parser, const char *At, std::size_t Size) {
+    message_reader &Reader = of(Parser);
+    // Trailers of a chunked body aren't kept.
+    if (Reader.State != read_state::InHead)
+      return 0;
+    if (Reader.LastWasValue) {
+      message_head::span Span;
+      Span.Name = static_cast<std::uint32_t>(Reader.Head.Text.size());
+      Reader.Head.Spans.push_back(Span);
+      Reader.LastWasValue = false;
+    }
+    Reader.Head.Text.append(At, Size);
+    Reader.Head.Spans.back().NameSize += static_cast<std::uint32_t>(Size);
+    return 0;
+  }
+  static int onValue(http_parser *Parser, const char *At, std::size_t Size) {
+    message_reader &Reader = of(Parser);
+    if (Reader.State != read_state::InHead)
+      return 0;
+    message_head::span &Span = Reader.Head.Spans.back();
+    if (!Reader.LastWasValue)
+      Span.Value = static_cast<std::uint32_t>(Reader.Head.Text.size());
+    Reader.LastWasValue = true;
+    Reader.Head.Text.append(At, Size);
+    Span.ValueSize += static_cast<std::uint32_t>(Size);
+    return 0;
+  }
+  static int onHeadersComplete(http_parser *Parser) {
+    message_reader &Reader = of(Parser);
+    Reader.finishHead();
+    return Reader.WithoutBody ? 1 : 0;
+  }
+  static int onBody(http_parser *Parser, const char *At, std::size_t Size) {
+    of(Parser).Body.append(At, Size);
+    return 0;
+  }
+  static int onComplete(http_parser *Parser) {
+    message_reader &Reader = of(Parser);
+    Reader.KeepsAlive = http_should_keep_alive(Parser) != 0;
+    Reader.State = read_state::Complete;
+    // Stops the parser before the next message.
+    http_parser_pause(Parser, 1);
+    return 0;
+  }
+  static http_parser_settings make() {
+    http_parser_settings Settings;
+    http_parser_settings_init(&Settings);
+    Settings.on_url = onTarget;
+    Settings.on_header_field = onName;
+    Settings.on_header_value = onValue;
+    Settings.on_headers_complete = onHeadersComplete;
+    Settings.on_body = onBody;
+    Settings.on_message_complete = onComplete;
+    return Settings;
+  }
+};
+
+message_reader::message_reader(message_kind Kind, std::size_t MaxHeadBytes)
+    : Kind(Kind), MaxHeadBytes(MaxHeadBytes) {
+  reset();
+}
+
+void message_reader::reset(bool NoBody) {
+  http_parser_init(&Parser, Kind == message_kind::Request ? HTTP_REQUEST
+                                                          : HTTP_RESPONSE);
+  Parser.data = this;
+  State = read_state::InHead;
+  Head.Text.clear();
+  Head.Spans.clear();
+  Head.Target.clear();
+  Head.Status = 0;
+  Body.clear();
+  ContentLength.reset();
+  Begun = false;
+  WithoutBody = NoBody;
+  EndsWithConnection = false;
+  KeepsAlive = false;
+  LastWasValue = true;
+  HeadBytes = 0;
+  LastByte = 0;
+  AtLineStart = false;
+  LineIsEmpty = true;
+}
+
+/// Refuses line ends without a carriage return and folded lines. Some parsers
+/// take them for the end of a field and some don't, so that one message could
+/// be hidden in another.
+bool message_reader::headLinesAreSound(std::string_view Bytes) {
+  std::size_t At = 0;
+  while (At < Bytes.size()) {
+    if (AtLineStart && (Bytes[At] == ' ' || Bytes[At] == '\t'))
+      return false;
+    const std::size_t End = Bytes.find('\n', At);
+    if (End == std::string_view::npos) {
+      LineIsEmpty = LineIsEmpty && Bytes.substr(At) == "\r";
+      LastByte = Bytes.back();
+      AtLineStart = false;
+      return true;
+    }
+    const char Before = End > 0 ? Bytes[End - 1] : LastByte;
+    if (Before != '\r')
+      return false;
+    const std::string_view Line = Bytes.substr(At, End - At);
+    // The body follows and may hold any bytes.
+    if (LineIsEmpty && (Line == "\r" || Line.empty()) && HeadBytes > 0)
+      return true;
+    LineIsEmpty = true;
+    AtLineStart = true;
+    LastByte = '\n';
+    HeadBytes += End - At + 1;
+    At = End + 1;
+  }
+  return true;
+}
+
+/// Two lengths, a length and chunks, or codings that only some know could make
+/// two parties disagree on where the message ends.
+bool message_reader::headIsSound() const {
+  if (Head.count("content-length") > 1)
+    return false;
+  const auto Coding = Head.find("transfer-encoding");
+  if (Coding) {
+    if (Head.count("transfer-encoding") > 1 ||
+        Head.find("content-length").has_value() ||
+        !equalsIgnoringCase(*Coding, "chunked"))
+      return false;
+  }
+  for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
+    const std::string_view Name = Head.fieldAt(Index).Name;
+    if (Name.empty() || Name.find(' ') != std::string_view::npos)
+      return false;
+  }
+  return true;
+}
+
+void message_reader::finishHead() {
+  Head.Method = Parser.method;
+  Head.Status = static_cast<int>(Parser.status_code);
+  KeepsAlive = http_should_keep_alive(&Parser) != 0;
+  if (!headIsSound()) {
+    State = read_state::Malformed;
+    return;
+  }
+  State = read_state::InBody;
+  if (Head.find("content-length").has_value())
+    ContentLength = Parser.content_length;
+  const bool NeverHasBody =
+      Head.Status / 100 == 1 || Head.Status == 204 || Head.Status == 304;
+  EndsWithConnection = Kind == message_kind::Response && !WithoutBody &&
+                       !NeverHasBody && !ContentLength &&
+                       !Head.find("transfer-encoding").has_value();
+}
+
+std::size_t message_reader::feed(std::string_view Bytes) {
+  static const http_parser_settings Settings = callbacks::make();
+  if (Bytes.empty() || State == read_state::Complete ||
+      State == read_state::Malformed || State == read_state::HeadTooLarge)
+    return 0;
+  Begun = true;
+  if (State == read_state::InHead) {
+    if (!headLinesAreSound(Bytes)) {
+      State = read_state::Malformed;
+      return 0;
+    }
+  }
+  const bool WasInHead = State == read_state::InHead;
+  const std::size_t Taken =
+      http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
+  const auto Error = static_cast<http_errno>(Parser.http_errno);
+  if (WasInHead && Head.Text.size() + Head.Target.size() > MaxHeadBytes)
+    State = read_state::HeadTooLarge;
+  if (Error == HPE_HEADER_OVERFLOW)
+    State = read_state::HeadTooLarge;
+  else if (Error != HPE_OK && Error != HPE_PAUSED)
+    State = read_state::Malformed;
+  return Taken;
+}
+
+void message_reader::feedEnd() {
+  static const http_parser_settings Settings = callbacks::make();
+  if (State == read_state::InBody && EndsWithConnection)
+    http_parser_execute(&Parser, &Settings, nullptr, 0);
+}
+
+bool isHopByHop(std::string_view Name) {
+  static constexpr std::array<std::string_view, 9> Names = {
+      "connection",       "keep-alive", "proxy-connection", "te",
+      "trailer",          "upgrade",    "transfer-encoding", "proxy-authenticate",
+      "proxy-authorization"};
+  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Other) {
+    return Name.size() == Other.size() && equalsIgnoringCase(Name, Other);
+  });
+}
+
+bool isNamedByConnection(const message_head &Head, std::string_view Name) {
+  const auto Connection = Head.find("connection");
+  if (!Connection)
+    return false;
+  for (std::string_view Token : split(*Connection, ','))
+    if (equalsIgnoringCase(strip(Token), Name))
+      return true;
+  return false;
+}
+
+std::string_view reasonOf(int Status) {
+  return http_status_str(static_cast<http_status>(Status));
+}
+
+void appendField(std::string &Text, std::string_view Name,
+                 std::string_view Value) {
+  append(Text, Name, ": ", Value, "\r\n");
+}
+
+void appendChunk(std::string &Text, std::string_view Piece) {
+  if (Piece.empty())
+    return;
+  appendHex(Text, Piece.size());
+  append(Text, "\r\n", Piece, "\r\n");
+}
+
+void appendLastChunk(std::string &Text) { Text.append("0\r\n\r\n"); }
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -0,0 +1,76 @@
+#include "NodeSettings/node_settings.h"
+
+#include "Settings/section_reader.h"
+
+namespace amaranthhoist {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static void readAddresses(const YAML::Node &Node, node_addresses &Listen,
+                          std::vector<settings_fault> &Faults) {
+  section_reader Reader(Node, "listen.", Faults);
+  Reader.readAddress("callers", Listen.Callers, true);
+  Reader.readAddress("readiness", Listen.Readiness, true);
+  Reader.readAddress("lookups", Listen.Lookups, true);
+  Reader.readAddress("peers", Listen.Peers, true);
+  Reader.readAddress("metrics", Listen.Metrics, false);
+  Reader.rejectUnknown();
+}
+
+static void readBounds(const YAML::Node &Node, node_bounds &Bounds,
+                       std::vector<settings_fault> &Faults) {
+  section_reader Reader(Node, "bounds.", Faults);
+  Reader.readReal("repeat_ratio", Bounds.RepeatRatio, 0, 10);
+  Reader.readDuration("repeat_window", Bounds.RepeatWindow, milliseconds(100),
+                      seconds(600));
+  Reader.readReal("repeat_slack", Bounds.RepeatSlack, 0, 1e6);
+  Reader.readDuration("grace_period", Bounds.GracePeriod, milliseconds(500),
+                      seconds(3'600));
+  Reader.readDuration("lookup_ttl", Bounds.LookupTimeToLive, milliseconds(100),
+                      seconds(3'600));
+  Reader.rejectUnknown();
+}
+
+static void readLimits(const YAML::Node &Node, node_settings &Settings,
+                       std::vector<settings_fault> &Faults) {
+  section_reader Reader(Node, "limits.", Faults);
+  Reader.readReal("processor", Settings.Processor, 0.01, 1'024);
+  Reader.readNumber("memory_mb", Settings.MemoryMb, 32, 1'048'576);
+  Reader.readNumber("file_descriptors", Settings.FileDescriptors, 64,
+                    10'000'000);
+  Reader.rejectUnknown();
+}
+
+static void readAll(const YAML::Node &Root, node_settings_check &Check) {
+  node_settings &Settings = Check.Settings;
+  section_reader Reader(Root, "", Check.Faults);
+  Reader.readName("instance", Settings.Instance);
+  Reader.readName("failure_domain", Settings.FailureDomain);
+  Reader.readName("region", Settings.Region);
+  Reader.readTextMap("failure_domains", Settings.FailureDomains);
+  Reader.readAddress("store", Settings.Store, true);
+  Reader.readText("log_level", Settings.LogLevel,
+                  {"debug", "info", "warn", "error"});
+  readAddresses(Reader.section("listen"), Settings.Listen, Check.Faults);
+  readLimits(Reader.section("limits"), Settings, Check.Faults);
+  readBounds(Reader.section("bounds"), Settings.Bounds, Check.Faults);
+  Reader.rejectUnknown();
+}
+
+node_settings_check checkNodeSettings(std::string_view Text) {
+  node_settings_check Check;
+  const YAML::Node Root = parseYaml(Text, Check.Faults);
+  if (Check.Faults.empty())
+    readAll(Root, Check);
+  return Check;
+}
+
+result<node_settings> loadNodeSettings(const std::string &File) {
+  node_settings_check Check = checkNodeSettings(TRY(readSettingsFile(File)));
+  if (Check.Faults.empty())
+    return Check.Settings;
+  return tl::unexpected(faultsAsError(Check.Faults, File));
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/NodeSettings/node_settings.h
@@ -0,0 +1,69 @@
+/// The settings of one node of the fleet: the single program that serves
+/// callers, look-ups and its peers. One YAML file, checked as a whole.
+#pragma once
+
+#include "Core/core.h"
+#include "Settings/settings.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhoist {
+
+/// Addresses that a node listens at, `ip:port`.
+struct node_addresses {
+  /// For callers' requests.
+  std::string Callers;
+  std::string Readiness;
+  /// For callers' look-ups.
+  std::string Lookups;
+  /// Datagrams between nodes.
+  std::string Peers;
+  std::string Metrics;
+};
+
+/// What operators bound, all nodes together.
+struct node_bounds {
+  double RepeatRatio = 0.1;
+  duration RepeatWindow = std::chrono::seconds(10);
+  double RepeatSlack = 0;
+  /// From SIGTERM until the process is killed.
+  duration GracePeriod = std::chrono::seconds(6);
+  /// The longest that callers keep a look-up's answer.
+  duration LookupTimeToLive = std::chrono::seconds(5);
+};
+
+struct node_settings {
+  std::string Instance;
+  std::string FailureDomain;
+  std::string Region;
+  /// Failure domains of the whole deployment, with their regions.
+  std::map<std::string, std::string> FailureDomains;
+  node_addresses Listen;
+  /// `ip:port` of the platform's store.
+  std::string Store;
+  /// Share of one core that this node may use.
+  double Processor = 1;
+  /// Memory that this node may use, in MB.
+  std::int64_t MemoryMb = 256;
+  /// File descriptors that this node may use.
+  std::int64_t FileDescriptors = 1'024;
+  node_bounds Bounds;
+  /// debug, info, warn or error.
+  std::string LogLevel = "info";
+};
+
+struct node_settings_check {
+  node_settings Settings;
+  std::vector<settings_fault> Faults;
+};
+
+/// Checks the text of a node's settings file.
+node_settings_check checkNodeSettings(std::string_view Text);
+
+/// Loads and checks \p File; all faults in the error's message.
+result<node_settings> loadNodeSettings(const std::string &File);
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/PeerMessages/peer_messages.h
@@ -0,0 +1,24 @@
+/// The datagrams between the nodes of a fleet, encoded by Cap'n Proto. The
+/// generated sources come from peer_messages.capnp.
+#pragma once
+
+#include "Membership/membership.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace amaranthhoist {
+
+/// A message of the membership protocol and who sent it.
+struct peer_datagram {
+  std::string Sender;
+  membership_message Message;
+};
+
+std::string encodeDatagram(const peer_datagram &Datagram);
+
+/// None when \p Bytes are no such datagram.
+std::optional<peer_datagram> decodeDatagram(std::string_view Bytes);
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Placement/placement.h
@@ -0,0 +1,35 @@
+/// Where the work on an object belongs. All instances rank the servers of a
+/// service the same way for an object, without talking (rendezvous hashing),
+/// so that a server meets the same objects again while they are warm. A server
+/// that joins or leaves moves only its own objects. Sans-I/O.
+#pragma once
+
+#include "Targets/targets.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+
+namespace amaranthhoist {
+
+/// The most servers that an object is ever ranked on.
+inline constexpr std::size_t MaxPlaces = 6;
+
+/// The best servers for an object, best first.
+struct ranking {
+  std::array<target *, MaxPlaces> Targets{};
+  std::size_t Count = 0;
+  [[nodiscard]] std::span<target *const> targets() const {
+    return {Targets.data(), Count};
+  }
+};
+
+/// Ranks the usable servers among \p Targets for the object \p KeyHash.
+/// \p HomeRegions: others aren't ranked; empty: all are.
+ranking rankTargets(const target_directory &Directory,
+                    std::span<target *const> Targets, std::uint64_t KeyHash,
+                    std::span<const std::string> HomeRegions, instant Now);
+
+} // namespace amaranthhoist
--- a/Libraries/Settings/settings.cpp
+++ b/Libraries/Settings/settings.cpp
@@ -1,12 +1,11 @@
 #include "Settings/settings.h"
 
+#include "Settings/section_reader.h"
+
 #include <absl/strings/numbers.h>
-#include <algorithm>
 #include <arpa/inet.h>
 #include <fstream>
-#include <set>
 #include <sstream>
-#include <yaml-cpp/yaml.h>
 
 namespace amaranthhoist {
 
@@ -29,148 +28,6 @@
   return Address;
 }
 
-namespace {
-
-/// Reads the fields of one mapping, noting faults and unknown fields.
-class section_reader {
-public:
-  section_reader(const YAML::Node &Node, std::string Prefix,
-                 std::vector<settings_fault> &Faults)
-      : Node(Node), Prefix(std::move(Prefix)), Faults(Faults) {}
-
-  /// A name: used in keys and ids, so it has letters, digits and '-' only.
-  void readName(const char *Field, std::string &Value) {
-    if (!readScalar(Field, Value, true))
-      return;
-    const bool Valid =
-        !Value.empty() &&
-        std::all_of(Value.begin(), Value.end(), [](unsigned char Character) {
-          return std::isalnum(Character) != 0 || Character == '-';
-        });
-    if (!Valid)
-      fault(Field, "must be a name of letters, digits and '-'");
-  }
-
-  void readAddress(const char *Field, std::string &Value, bool Required) {
-    if (!readScalar(Field, Value, Required))
-      return;
-    if (auto Address = parseAddress(Value); !Address)
-      fault(Field, Address.error().Message);
-  }
-
-  void readText(const char *Field, std::string &Value,
-                const std::vector<std::string> &Permitted = {}) {
-    if (!readScalar(Field, Value, false) || Permitted.empty())
-      return;
-    if (std::find(Permitted.begin(), Permitted.end(), Value) != Permitted.end())
-      return;
-    std::string Message = "must be one of";
-    for (const std::string &Item : Permitted)
-      Message += " " + Item;
-    fault(Field, Message);
-  }
-
-  void readUrl(const char *Field, std::string &Value) {
-    if (readScalar(Field, Value, true) && !Value.starts_with("http://"))
-      fault(Field, "must be an http:// address");
-  }
-
-  void readNumber(const char *Field, std::int64_t &Value, std::int64_t Low,
-                  std::int64_t High) {
-    std::string Text;
-    if (!readScalar(Field, Text, false))
-      return;
-    std::int64_t Number = 0;
-    if (!absl::SimpleAtoi(Text, &Number) || Number < Low || Number > High) {
-      fault(Field, "must be a whole number from " + std::to_string(Low) +
-                       " to " + std::to_string(High));
-      return;
-    }
-    Value = Number;
-  }
-
-  void readNames(const char *Field, std::vector<std::string> &Values,
-                 bool Required) {
-    const YAML::Node Child = child(Field);
-    if (!Child) {
-      if (Required)
-        fault(Field, "is required");
-      return;
-    }
-    if (!Child.IsSequence() || (Required && Child.size() == 0)) {
-      fault(Field, "must be a list");
-      return;
-    }
-    for (const YAML::Node &Item : Child)
-      Values.push_back(Item.as<std::string>(""));
-  }
-
-  void readLinks(const char *Field, std::map<std::string, double> &Values) {
-    const YAML::Node Child = child(Field);
-    if (!Child)
-      return;
-    if (!Child.IsMap()) {
-      fault(Field, "must map regions to milliseconds");
-      return;
-    }
-    for (const auto &Entry : Child) {
-      const auto Ms = Entry.second.as<double>(-1);
-      if (Ms < 0 || Ms > 10'000)
-        fault(Field, "must map each region to 0 to 10000 milliseconds");
-      Values[Entry.first.as<std::string>("")] = Ms;
-    }
-  }
-
-  /// A nested mapping; an empty one, with a fault, when it isn't there.
-  YAML::Node section(const char *Field) {
-    const YAML::Node Child = child(Field);
-    if (Child && Child.IsMap())
-      return Child;
-    fault(Field, "is required and must be a mapping");
-    return YAML::Node(YAML::NodeType::Map);
-  }
-
-  /// A misspelt field would silently leave its default in force.
-  void rejectUnknown() {
-    for (const auto &Entry : Node) {
-      const auto Name = Entry.first.as<std::string>("");
-      if (!Known.contains(Name))
-        Faults.push_back(
-            {Entry.first.Mark().line + 1, Prefix + Name, "unknown field"});
-    }
-  }
-
-private:
-  YAML::Node child(const char *Field) {
-    Known.insert(Field);
-    return Node[Field];
-  }
-
-  bool readScalar(const char *Field, std::string &Value, bool Required) {
-    const YAML::Node Child = child(Field);
-    if (Child && Child.IsScalar()) {
-      Value = Child.Scalar();
-      return true;
-    }
-    if (Child || Required)
-      fault(Field, Child ? "must be a single value" : "is required");
-    return false;
-  }
-
-  void fault(const char *Field, std::string Message) {
-    const YAML::Node Child = Node[Field];
-    const int Line = (Child ? Child.Mark() : Node.Mark()).line + 1;
-    Faults.push_back({Line, Prefix + Field, std::move(Message)});
-  }
-
-  YAML::Node Node;
-  std::string Prefix;
-  std::vector<settings_fault> &Faults;
-  std::set<std::string> Known;
-};
-
-} // namespace
-
 static void readEntry(const YAML::Node &Node, entry_daemon_settings &Entry,
                       std::vector<settings_fault> &Faults) {
   section_reader Reader(Node, "entry.", Faults);
@@ -228,15 +85,9 @@
 
 settings_check checkSettings(std::string_view Text) {
   settings_check Check;
-  try {
-    const YAML::Node Root = YAML::Load(std::string(Text));
-    if (!Root.IsMap())
-      Check.Faults.push_back({1, "(file)", "must be a mapping of fields"});
-    else
-      readAll(Root, Check);
-  } catch (const YAML::Exception &Exception) {
-    Check.Faults.push_back({Exception.mark.line + 1, "(file)", Exception.msg});
-  }
+  const YAML::Node Root = parseYaml(Text, Check.Faults);
+  if (Check.Faults.empty())
+    readAll(Root, Check);
   return Check;
 }
 
@@ -245,19 +96,28 @@
          Fault.Field + ": " + Fault.Message;
 }
 
-result<instance_settings> loadSettings(const std::string &File) {
+result<std::string> readSettingsFile(const std::string &File) {
   std::ifstream Stream(File);
   if (!Stream)
     return fail(error_code::NotFound, File + ": can't be read");
   std::stringstream Text;
   Text << Stream.rdbuf();
-  settings_check Check = checkSettings(Text.str());
-  if (Check.Faults.empty())
-    return Check.Settings;
+  return Text.str();
+}
+
+error faultsAsError(const std::vector<settings_fault> &Faults,
+                    std::string_view File) {
   std::string Message;
-  for (const settings_fault &Fault : Check.Faults)
+  for (const settings_fault &Fault : Faults)
     Message += (Message.empty() ? "" : "\n") + describe(Fault, File);
-  return fail(error_code::Invalid, Message);
+  return {error_code::Invalid, Message};
+}
+
+result<instance_settings> loadSettings(const std::string &File) {
+  settings_check Check = checkSettings(TRY(readSettingsFile(File)));
+  if (Check.Faults.empty())
+    return Check.Settings;
+  return tl::unexpected(faultsAsError(Check.Faults, File));
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Settings/settings.h
+++ b/Libraries/Settings/settings.h
@@ -95,6 +95,13 @@
 /// A fault as `FILE:LINE: FIELD: MESSAGE`.
 std::string describe(const settings_fault &Fault, std::string_view File);
 
+/// The text of a settings file.
+result<std::string> readSettingsFile(const std::string &File);
+
+/// All faults as one error, a line each.
+error faultsAsError(const std::vector<settings_fault> &Faults,
+                    std::string_view File);
+
 /// Loads and checks \p File; all faults in the error's message.
 result<instance_settings> loadSettings(const std::string &File);
 
--- /dev/null
+++ b/Libraries/Steering/steering.cpp
@@ -0,0 +1,191 @@
+#include "Steering/steering.h"
+
+#include "Placement/placement.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+/// Servers of an object that are tried for room before it is refused. With two
+/// a hot object has a second place; with more, it pushes out what is warm
+/// elsewhere and everybody gets slower (measured: docs/PLATFORM-DESIGN.md).
+static constexpr std::size_t PlacesUnderPressure = 2;
+/// Places while there is room to spare: a cold server is then better than a
+/// refusal.
+static constexpr std::size_t PlacesAtEase = 4;
+/// Share of a service's slots that are taken when pressure begins.
+static constexpr double PressureAt = 0.6;
+/// Slots beyond a server's own that each step of urgency may use: the server
+/// queues a few requests, and urgent ones wait there rather than being refused
+/// while less urgent ones are served.
+static constexpr double RoomPerUrgency = 1;
+static constexpr double MostRoomForUrgency = 2;
+/// Less time than this before the deadline: nothing can be run.
+static constexpr duration LeastTime = std::chrono::milliseconds(30);
+/// Bounds of the time to come back, before the share of the time left.
+static constexpr duration ShortestReturn = std::chrono::milliseconds(250);
+static constexpr duration LongestReturn = std::chrono::milliseconds(1'000);
+/// Callers keep to a time to come back of up to a third of what they have
+/// left; a little less, for the way there.
+static constexpr double ReturnPart = 0.3;
+
+std::string_view toString(refusal Reason) {
+  switch (Reason) {
+  case refusal::NotConfigured:
+    return "not_configured";
+  case refusal::NoRoute:
+    return "no_route";
+  case refusal::NoTarget:
+    return "no_target";
+  case refusal::NoRoom:
+    return "no_room";
+  case refusal::TooLate:
+    return "too_late";
+  case refusal::NoRepeats:
+    return "no_repeats";
+  }
+  return "unknown";
+}
+
+bool applyConfiguration(steering &Steering, configuration Configuration) {
+  if (Steering.Routes &&
+      Configuration.Version <= Steering.Routes->Configuration.Version)
+    return false;
+  Steering.LeastUrgent = 0;
+  for (const route &Route : Configuration.Routes)
+    Steering.LeastUrgent = std::max(Steering.LeastUrgent, Route.Priority);
+  Steering.Routes = makeRouteTable(std::move(Configuration));
+  return true;
+}
+
+tl::expected<request_plan, refusal> planRequest(steering &Steering,
+                                                const request_facts &Facts) {
+  if (!Steering.Routes)
+    return tl::unexpected(refusal::NotConfigured);
+  route_table &Table = *Steering.Routes;
+  const std::size_t Index = findRoute(Table, Facts.Host, Facts.Path);
+  if (Index == std::string_view::npos)
+    return tl::unexpected(refusal::NoRoute);
+  const route &Route = Table.Configuration.Routes[Index];
+  request_plan Plan;
+  // Without affinity any server will do, a different one each time.
+  const bool HasObject = Route.HasAffinity && !Facts.ObjectKey.empty();
+  Plan.KeyHash = stableHash(HasObject ? Facts.ObjectKey : Facts.RequestId);
+  Plan.Service = choosePart(Table, Index, Plan.KeyHash);
+  Plan.Class = Route.Class;
+  Plan.Priority = Route.Priority;
+  Plan.MaxAttempts = Route.MaxAttempts;
+  Plan.HomeRegions = Route.HomeRegions;
+  Plan.Objective = Route.Objective;
+  Plan.Arrived = Facts.Arrived;
+  Plan.Deadline =
+      Facts.Arrived +
+      std::min(Route.Timeout, Facts.TimeLeft.value_or(Route.Timeout));
+  countRequest(Steering.Repeats, Plan.Service, Facts.Arrived);
+  return Plan;
+}
+
+/// Share of the usable slots of a service that are probably taken.
+static double pressure(const steering &Steering,
+                       const std::vector<target *> &Targets, instant Now) {
+  double Load = 0;
+  double Slots = 0;
+  for (const target *Target : Targets) {
+    if (!isUsable(Steering.Targets, *Target, Now))
+      continue;
+    Load += std::min(estimatedLoad(*Target, Now),
+                     static_cast<double>(Target->Entry.Slots));
+    Slots += Target->Entry.Slots;
+  }
+  return Slots > 0 ? Load / Slots : 1;
+}
+
+static bool hasRoom(const steering &Steering, const request_plan &Plan,
+                    const target &Target, instant Now) {
+  const double Urgency =
+      std::min(MostRoomForUrgency,
+               RoomPerUrgency * (Steering.LeastUrgent - Plan.Priority));
+  return estimatedLoad(Target, Now) < Target.Entry.Slots + Urgency;
+}
+
+static double ownColdRate(const steering &Steering, const target &Target) {
+  const service *Service =
+      Steering.Routes ? findService(*Steering.Routes, Target.Entry.Service)
+                      : nullptr;
+  if (!Service || Steering.Instances.empty())
+    return 0;
+  return coldRate(Service->ColdRequestsPerSecond, Target.Hash,
+                  Steering.Instances.front(), Steering.Instances);
+}
+
+static bool bearsRequest(const steering &Steering, const target &Target,
+                         instant Now) {
+  return Now >= Target.ColdUntil ||
+         bearsRequest(Target, ownColdRate(Steering, Target), Now);
+}
+
+tl::expected<target *, refusal> chooseTarget(steering &Steering,
+                                             const request_plan &Plan,
+                                             instant Now) {
+  if (Plan.Deadline - Now < LeastTime)
+    return tl::unexpected(refusal::TooLate);
+  auto Found = Steering.Targets.ByService.find(Plan.Service);
+  if (Found == Steering.Targets.ByService.end())
+    return tl::unexpected(refusal::NoTarget);
+  const ranking Ranking = rankTargets(Steering.Targets, Found->second,
+                                      Plan.KeyHash, Plan.HomeRegions, Now);
+  if (Ranking.Count == 0)
+    return tl::unexpected(refusal::NoTarget);
+  const bool IsPressed =
+      pressure(Steering, Found->second, Now) >= PressureAt;
+  std::size_t Places = IsPressed ? PlacesUnderPressure : PlacesAtEase;
+  for (target *Target : Ranking.targets()) {
+    const bool WasTried = std::find(Plan.Tried.begin(), Plan.Tried.end(),
+                                    Target->Entry.Id) != Plan.Tried.end();
+    // A place that can't be used for a while doesn't count as one.
+    if (WasTried || !bearsRequest(Steering, *Target, Now))
+      continue;
+    if (Places == 0)
+      break;
+    --Places;
+    if (hasRoom(Steering, Plan, *Target, Now))
+      return Target;
+  }
+  return tl::unexpected(refusal::NoRoom);
+}
+
+void beginAttempt(steering &Steering, request_plan &Plan, target &Target,
+                  instant Now) {
+  ++Plan.Attempts;
+  noteSent(Target, Now);
+  if (Now < Target.ColdUntil)
+    countColdRequest(Target, ownColdRate(Steering, Target), Now);
+}
+
+bool mayRepeat(steering &Steering, const request_plan &Plan, instant Now) {
+  if (Plan.MayHaveRun && Plan.Class == work_class::NonIdempotent)
+    return false;
+  if (Plan.Arrivals >= Plan.MaxAttempts)
+    return false;
+  if (Plan.Deadline - Now < LeastTime)
+    return false;
+  // What never reached a server is no repeat there.
+  return Plan.Arrivals == 0 ||
+         takeRepeat(Steering.Repeats, Plan.Service, Steering.Instances.size(),
+                    Now);
+}
+
+duration retryAfter(const request_plan &Plan, std::string_view RequestId,
+                    instant Now) {
+  const duration Left = std::max(duration::zero(), Plan.Deadline - Now);
+  const duration Longest = std::min(
+      LongestReturn, duration(static_cast<std::int64_t>(
+                         ReturnPart * static_cast<double>(Left.count()))));
+  const duration Shortest = std::min(ShortestReturn, Longest);
+  const auto Range =
+      static_cast<std::uint64_t>((Longest - Shortest).count()) + 1;
+  return Shortest + duration(static_cast<std::int64_t>(
+                        stableHash(RequestId, Range) % Range));
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/Steering/steering.h
@@ -0,0 +1,115 @@
+/// Decides what happens to each request of a caller: which backend server gets
+/// it, whether it is sent once more, and when it is refused. Pulls together the
+/// route table, the servers, placement and the shared rates. Sans-I/O.
+#pragma once
+
+#include "Core/core.h"
+#include "Pacing/pacing.h"
+#include "RouteTable/route_table.h"
+#include "Targets/targets.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhoist {
+
+/// Everything that decisions on requests depend on.
+struct steering {
+  /// None until the first configuration has come.
+  std::optional<route_table> Routes;
+  target_directory Targets;
+  repeat_budget Repeats;
+  /// Hashes of all instances, this one's first.
+  std::vector<std::uint64_t> Instances;
+  /// The least urgent priority among the routes.
+  int LeastUrgent = 0;
+};
+
+/// Puts a configuration in force. False, and nothing happens, when it is not
+/// newer than the one in force: what callers have seen must not revert.
+bool applyConfiguration(steering &Steering, configuration Configuration);
+
+/// One request on its way. Holds what its route said when it came, so that a
+/// new configuration doesn't change it halfway.
+struct request_plan {
+  std::string Service;
+  std::uint64_t KeyHash = 0;
+  work_class Class = work_class::NonIdempotent;
+  int Priority = 0;
+  int MaxAttempts = 1;
+  std::vector<std::string> HomeRegions;
+  instant Arrived{};
+  /// When its final answer is due: the route's timeout or the caller's.
+  instant Deadline{};
+  duration Objective{};
+  /// Servers that it was sent to.
+  int Attempts = 0;
+  /// Attempts that reached a server, or may have.
+  int Arrivals = 0;
+  /// Whether a server may have run it.
+  bool MayHaveRun = false;
+  /// Servers that didn't answer it, not to be asked again.
+  std::vector<std::string> Tried;
+};
+
+/// Why a request was refused.
+enum class refusal : std::uint8_t {
+  /// No configuration yet.
+  NotConfigured,
+  NoRoute,
+  /// No server of its service may be used.
+  NoTarget,
+  /// Its servers have no room.
+  NoRoom,
+  /// Too little time is left to run it.
+  TooLate,
+  /// Repeats are used up.
+  NoRepeats,
+};
+
+/// The name of a refusal in logs and metrics.
+std::string_view toString(refusal Reason);
+
+/// The parts of a request that route it.
+struct request_facts {
+  std::string_view Host;
+  /// Without its query.
+  std::string_view Path;
+  /// Names the object that it concerns; empty: none.
+  std::string_view ObjectKey;
+  std::string_view RequestId;
+  /// How long the caller will wait, if it says so.
+  std::optional<duration> TimeLeft;
+  instant Arrived{};
+};
+
+/// Finds the route of a request and makes its plan.
+tl::expected<request_plan, refusal> planRequest(steering &Steering,
+                                                const request_facts &Facts);
+
+/// The server that the request goes to next. Counts nothing yet.
+tl::expected<target *, refusal> chooseTarget(steering &Steering,
+                                             const request_plan &Plan,
+                                             instant Now);
+
+/// Counts an attempt that begins at \p Target.
+void beginAttempt(steering &Steering, request_plan &Plan, target &Target,
+                  instant Now);
+
+/// Whether another attempt may follow the one that has just failed; takes its
+/// token from the budget of repeats if it needs one. Non-idempotent work is
+/// never sent again once a byte of it may have reached a server, unless that
+/// server itself says that it did not run it.
+bool mayRepeat(steering &Steering, const request_plan &Plan, instant Now);
+
+/// When a refused caller should come back: spread, so that those refused
+/// together don't return together, and soon enough that there is time left to
+/// serve them.
+duration retryAfter(const request_plan &Plan, std::string_view RequestId,
+                    instant Now);
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/exchange.cpp
@@ -0,0 +1,310 @@
+#include "exchange.h"
+
+#include "Text/text.h"
+
+
+namespace amaranthhoist {
+
+/// How long a connection may take to stand: three round trips between the
+/// farthest regions. A server without power never answers at all.
+static constexpr duration ConnectTime = std::chrono::milliseconds(250);
+/// A server ends its work at the deadline it was told and says so itself; its
+/// answer is awaited this much longer before this node answers instead.
+static constexpr duration DeadlineGrace = std::chrono::milliseconds(120);
+/// Servers that may be found unreachable before a request is refused: each
+/// costs the caller up to ConnectTime.
+static constexpr int MostUnreachable = 3;
+
+exchange::exchange(node &Node, target_pool &Pool, exchange_caller &Caller,
+                   caller_request InitialRequest)
+    : Node(Node), Pool(Pool), Caller(&Caller),
+      Request(std::move(InitialRequest)) {}
+
+exchange::~exchange() {
+  Node.Loop.cancel(DeadlineTimer);
+  Node.Loop.cancel(ConnectTimer);
+  if (Target)
+    noteResult(Node.Steering.Targets, *Target, attempt_result::Cancelled,
+               duration::zero(), Node.Loop.now());
+}
+
+void exchange::begin() {
+  const std::size_t Mark = Request.Target.find('?');
+  const request_facts Facts{
+      Request.Host,
+      std::string_view(Request.Target).substr(0, Mark),
+      Request.ObjectKey,
+      Request.Id,
+      Request.TimeLeft,
+      Request.Arrived};
+  auto Planned = planRequest(Node.Steering, Facts);
+  if (!Planned) {
+    refuse(Planned.error());
+    return;
+  }
+  Plan = std::move(*Planned);
+  HasPlan = true;
+  DeadlineTimer =
+      Node.Loop.after(Plan.Deadline - Node.Loop.now() + DeadlineGrace,
+                      [this] { onDeadline(); });
+  next();
+}
+
+void exchange::next() {
+  auto Chosen = chooseTarget(Node.Steering, Plan, Node.Loop.now());
+  if (!Chosen) {
+    refuse(Chosen.error());
+    return;
+  }
+  attempt(**Chosen);
+}
+
+std::string exchange::encodeRequest(const target &Target) const {
+  const duration Left = Plan.Deadline - Node.Loop.now();
+  std::string Text;
+  Text.reserve(256 + Request.Fields.size() + Request.Body.size());
+  append(Text, Request.Method, " ", Request.Target, " HTTP/1.1\r\n",
+                  Request.Fields);
+  appendField(Text, Node.Wire.TimeLeft,
+              cat(std::max<std::int64_t>(1, Left.count() / 1'000)));
+  appendField(Text, Node.Wire.ExpectedTarget, Target.Entry.Id);
+  if (Request.HasBody)
+    appendField(Text, "Content-Length", cat(Request.Body.size()));
+  append(Text, "\r\n", Request.Body);
+  return Text;
+}
+
+void exchange::attempt(target &Chosen) {
+  Target = &Chosen;
+  AttemptBegan = Node.Loop.now();
+  HasAnswerHead = false;
+  ServerDidNotRun = false;
+  beginAttempt(Node.Steering, Plan, Chosen, AttemptBegan);
+  Connection = Pool.take(Chosen, Plan.Class);
+  if (!Connection) {
+    Connection = Pool.open(Chosen);
+    if (!Connection) {
+      onFailure({.NotConnected = true});
+      return;
+    }
+    ConnectTimer =
+        Node.Loop.after(ConnectTime, [this] { onConnectTimeout(); });
+  }
+  Connection->call(*this, encodeRequest(Chosen), Request.Method == "HEAD");
+}
+
+void exchange::dropConnection() {
+  Node.Loop.cancel(ConnectTimer);
+  if (!Connection)
+    return;
+  struct retired_connection : retirable {
+    std::unique_ptr<client_connection> Connection;
+  };
+  Connection->close();
+  auto Retired = std::make_unique<retired_connection>();
+  Retired->Connection = std::move(Connection);
+  Node.Retired.push_back(std::move(Retired));
+}
+
+void exchange::endAttempt(attempt_result Result) {
+  if (!Target)
+    return;
+  noteResult(Node.Steering.Targets, *Target, Result,
+             Node.Loop.now() - AttemptBegan, Node.Loop.now());
+  Target = nullptr;
+}
+
+void exchange::onConnectTimeout() {
+  ConnectTimer = 0;
+  if (!Connection || Connection->isConnected())
+    return;
+  onFailure({.NotConnected = true});
+}
+
+void exchange::takeAnswerHead(const message_head &Head) {
+  Status = Head.status();
+  AnswerFields.clear();
+  for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
+    const auto Field = Head.fieldAt(Index);
+    const bool IsLength = equalsIgnoringCase(Field.Name, "content-length");
+    if (isHopByHop(Field.Name) || isNamedByConnection(Head, Field.Name) ||
+        (IsLength && Request.Method != "HEAD"))
+      continue;
+    appendField(AnswerFields, Field.Name, Field.Value);
+  }
+}
+
+bool exchange::onHead(const message_head &Head) {
+  const auto Id = Head.find(Node.Wire.RequestId);
+  // A late answer to an earlier request on this connection.
+  if (Id && *Id != Request.Id)
+    return false;
+  Node.Loop.cancel(ConnectTimer);
+  HasAnswerHead = true;
+  if (const auto Load = Head.find(Node.Wire.Load))
+    if (const auto Decoded = Node.Wire.DecodeLoad(*Load))
+      noteLoad(*Target, *Decoded, Node.Loop.now());
+  ServerDidNotRun =
+      Head.find(Node.Wire.NotRun).has_value() || Head.status() == 421;
+  const bool ClaimsSuccess = Head.status() / 100 == 2;
+  if (ClaimsSuccess &&
+      (!Id || !Head.find(Node.Wire.Signature).has_value())) {
+    // Not what the server made: nothing of it may reach the caller.
+    onFailure({.HadAnswer = true, .Garbled = true});
+    return true;
+  }
+  takeAnswerHead(Head);
+  return true;
+}
+
+void exchange::onComplete() {
+  const bool WasReplaced = Status == 421;
+  ++Plan.Arrivals;
+  if (Connection->isReusable())
+    Pool.put(*Target, std::move(Connection));
+  else
+    dropConnection();
+  Node.Loop.cancel(ConnectTimer);
+  if (ServerDidNotRun) {
+    Plan.Tried.push_back(Target->Entry.Id);
+    endAttempt(WasReplaced ? attempt_result::Replaced : attempt_result::Shed);
+    repeatOrEnd();
+    return;
+  }
+  Plan.MayHaveRun = true;
+  const bool ServerFailed = Status >= 500;
+  const std::string Id = Target->Entry.Id;
+  endAttempt(ServerFailed && Status != 504 ? attempt_result::Failed
+                                           : attempt_result::Answered);
+  if (ServerFailed && Caller && !IsStreaming &&
+      Plan.Class == work_class::Idempotent) {
+    Plan.Tried.push_back(Id);
+    if (chooseTarget(Node.Steering, Plan, Node.Loop.now()) &&
+        mayRepeat(Node.Steering, Plan, Node.Loop.now())) {
+      log(log_kind::Trouble, "repeat", "server_error", Status);
+      Held.clear();
+      next();
+      return;
+    }
+  }
+  deliver();
+}
+
+void exchange::onFailure(const call_failure &Failure) {
+  dropConnection();
+  if (!Target)
+    return;
+  const std::string Id = Target->Entry.Id;
+  if (Failure.NotConnected) {
+    endAttempt(attempt_result::Unreachable);
+    Plan.Tried.push_back(Id);
+    repeatOrEnd();
+    return;
+  }
+  ++Plan.Arrivals;
+  Plan.MayHaveRun = true;
+  // A kept connection that ends without a byte was most likely idle too long.
+  const bool OnlyStale =
+      Failure.WasKept && !Failure.HadAnswer && !Failure.Garbled;
+  endAttempt(OnlyStale ? attempt_result::Cancelled : attempt_result::Failed);
+  if (!OnlyStale)
+    Plan.Tried.push_back(Id);
+  repeatOrEnd();
+}
+
+void exchange::repeatOrEnd() {
+  if (!Caller) {
+    over();
+    return;
+  }
+  if (IsStreaming) {
+    log(log_kind::Trouble, "answer_cut", "server_broke_off", Status);
+    Caller->cutShort();
+    over();
+    return;
+  }
+  Held.clear();
+  const instant Now = Node.Loop.now();
+  const bool TooManyUnreachable =
+      Plan.Attempts - Plan.Arrivals >= MostUnreachable;
+  auto Chosen = chooseTarget(Node.Steering, Plan, Now);
+  if (Chosen && !TooManyUnreachable && mayRepeat(Node.Steering, Plan, Now)) {
+    log(log_kind::Trouble, "repeat", "attempt_failed", 0);
+    attempt(**Chosen);
+    return;
+  }
+  if (Plan.MayHaveRun) {
+    answerOwn(502, std::nullopt, "attempt_failed");
+    return;
+  }
+  refuse(Chosen ? refusal::NoRepeats : Chosen.error());
+}
+
+void exchange::onDeadline() {
+  DeadlineTimer = 0;
+  if (!Caller) {
+    dropConnection();
+    endAttempt(attempt_result::TimedOut);
+    over();
+    return;
+  }
+  const bool MayHaveRun =
+      Plan.MayHaveRun || (Connection && Connection->isConnected());
+  dropConnection();
+  endAttempt(attempt_result::TimedOut);
+  if (IsStreaming) {
+    log(log_kind::Trouble, "answer_cut", "deadline", Status);
+    Caller->cutShort();
+    over();
+    return;
+  }
+  if (MayHaveRun)
+    answerOwn(504, std::nullopt, "deadline");
+  else
+    refuse(refusal::TooLate);
+}
+
+void exchange::goOnAlone(std::function<void()> WhenOver) {
+  OnOver = std::move(WhenOver);
+}
+
+bool exchange::callerLeft() {
+  Caller = nullptr;
+  const bool ServerWorks = Connection && Connection->isConnected();
+  if (Plan.Class == work_class::NonIdempotent && ServerWorks) {
+    // Stopping it halfway could leave half of its effect; it ends by itself.
+    return false;
+  }
+  if (Target)
+    log(log_kind::Trouble, "cancelled", "caller_left", 0);
+  dropConnection();
+  endAttempt(attempt_result::Cancelled);
+  Node.Loop.cancel(DeadlineTimer);
+  return true;
+}
+
+void exchange::over() {
+  Node.Loop.cancel(DeadlineTimer);
+  Node.Loop.cancel(ConnectTimer);
+  if (OnOver)
+    OnOver();
+}
+
+void exchange::log(log_kind Kind, std::string_view Event, std::string_view Why,
+                   int WithStatus) {
+  const instant Now = Node.Loop.now();
+  Node.Log.write(
+      Kind, Event,
+      {{"request", Request.Id},
+       {"service", Plan.Service},
+       {"why", Why},
+       {"status", static_cast<std::int64_t>(WithStatus)},
+       {"attempts", static_cast<std::int64_t>(Plan.Attempts)},
+       {"last_server", Plan.Tried.empty() ? std::string_view()
+                                          : std::string_view(Plan.Tried.back())},
+       {"took_us", static_cast<std::int64_t>((Now - Request.Arrived).count())},
+       {"left_us", static_cast<std::int64_t>((Plan.Deadline - Now).count())}},
+      Now);
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/exchange.h
@@ -0,0 +1,121 @@
+/// One request of a caller on its way through the node: sends it to a backend
+/// server, passes the answer back, and carries out what Steering decides when
+/// an attempt fails.
+#pragma once
+
+#include "HttpConnection/client_connection.h"
+#include "node.h"
+#include "target_pool.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace amaranthhoist {
+
+/// A request as it was read from the caller.
+struct caller_request {
+  std::string Id;
+  std::string Method;
+  /// Path and query as they were sent.
+  std::string Target;
+  std::string Host;
+  std::string ObjectKey;
+  /// The fields that are passed on, each with its line end.
+  std::string Fields;
+  std::string Body;
+  /// Whether a body was sent, be it empty.
+  bool HasBody = false;
+  std::optional<duration> TimeLeft;
+  instant Arrived{};
+};
+
+/// The caller's connection, as an exchange uses it.
+class exchange_caller {
+public:
+  virtual ~exchange_caller() = default;
+  /// Sends bytes of the answer.
+  virtual void send(std::string_view Bytes) = 0;
+  /// Bytes that the caller hasn't taken yet.
+  virtual std::size_t unsent() const = 0;
+  /// Whether the connection will take another request after this one.
+  virtual bool keepsAlive() const = 0;
+  /// Whether the caller understands chunks.
+  virtual bool takesChunks() const = 0;
+  /// The answer is whole.
+  virtual void onAnswered() = 0;
+  /// The answer can't be completed: cut the connection so that it shows.
+  virtual void cutShort() = 0;
+};
+
+class exchange : public retirable, private call_owner {
+public:
+  exchange(node &Node, target_pool &Pool, exchange_caller &Caller,
+           caller_request Request);
+  ~exchange() override;
+
+  /// Serves the request; calls back when it is over. May be over at once.
+  void begin();
+  /// The caller has gone. True when the exchange is over; otherwise its work
+  /// goes on at a server, and goOnAlone() follows.
+  bool callerLeft();
+  /// \p OnOver is called when the work that goes on has ended.
+  void goOnAlone(std::function<void()> OnOver);
+  /// The caller has taken what waited for it.
+  void callerDrained();
+
+private:
+  bool onHead(const message_head &Head) override;
+  void onBody(std::string &Body) override;
+  void onComplete() override;
+  void onFailure(const call_failure &Failure) override;
+
+  void next();
+  void attempt(target &Target);
+  std::string encodeRequest(const target &Target) const;
+  void endAttempt(attempt_result Result);
+  void dropConnection();
+  void onConnectTimeout();
+  void onDeadline();
+  /// After an attempt that failed or was refused: again, or the final answer.
+  void repeatOrEnd();
+
+  void takeAnswerHead(const message_head &Head);
+  void beginStreaming();
+  void deliver();
+  void refuse(refusal Reason);
+  void answerOwn(int Status, std::optional<duration> RetryAfter,
+                 std::string_view Why);
+  void over();
+  void log(log_kind Kind, std::string_view Event, std::string_view Why,
+           int Status);
+
+  node &Node;
+  target_pool &Pool;
+  exchange_caller *Caller;
+  caller_request Request;
+  request_plan Plan;
+  bool HasPlan = false;
+  timer_id DeadlineTimer = 0;
+  timer_id ConnectTimer = 0;
+  std::function<void()> OnOver;
+
+  // The attempt under way.
+  target *Target = nullptr;
+  std::unique_ptr<client_connection> Connection;
+  instant AttemptBegan{};
+  bool ServerDidNotRun = false;
+
+  // The answer.
+  int Status = 0;
+  std::string AnswerFields;
+  std::string Held;
+  bool HasAnswerHead = false;
+  bool IsStreaming = false;
+  bool IsChunked = false;
+  bool IsReadingPaused = false;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/main.cpp
@@ -0,0 +1,250 @@
+/// The node program: one process on each instance that takes callers'
+/// requests, answers their look-ups and keeps in touch with its peers.
+#include "caller_server.h"
+#include "HttpConnection/small_server.h"
+#include "codec.h"
+#include "names.h"
+#include "node.h"
+#include "peer_link.h"
+#include "store_sync.h"
+#include "target_pool.h"
+#include "Text/text.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fcntl.h>
+#include <iostream>
+#include <unistd.h>
+
+namespace amaranthhoist {
+
+/// Where the settings file's path stands unless the command line tells it.
+static constexpr const char *SettingsVariable = "AMARANTHHOIST_SETTINGS";
+/// Callers keep a look-up's answer this long at most, so that an instance that
+/// is gone is soon named nowhere; the operators' bound may be lower.
+static constexpr duration LongestLookup = std::chrono::seconds(3);
+/// A leaving node stays at least this long, so that callers with older
+/// look-ups find it.
+static constexpr duration ShortestLeave = std::chrono::milliseconds(3'200);
+/// Before the end of the grace period nothing new is taken for this long, and
+/// everything must be over a moment before the end.
+static constexpr duration RefuseBeforeEnd = std::chrono::milliseconds(1'900);
+static constexpr duration EndMargin = std::chrono::milliseconds(350);
+static constexpr duration LeaveCheckPeriod = std::chrono::milliseconds(50);
+
+/// Write end of the pipe that brings signals into the event loop.
+static int SignalPipe = -1;
+
+static void onSignal(int Signal) {
+  const char Byte = static_cast<char>(Signal);
+  // A full pipe already holds signals that are to be seen.
+  [[maybe_unused]] const ssize_t Written = write(SignalPipe, &Byte, 1);
+}
+
+/// The parts of the program and what holds them together.
+class node_program : private io_handler {
+public:
+  node_program(node_settings Settings, const wire_names &Wire,
+               std::string SettingsFile)
+      : SettingsFile(std::move(SettingsFile)), Node(std::move(Settings), Wire),
+        Pool(Node), Callers(Node, Pool), Store(Node),
+        Peers(Node, [this] { Store.refreshInstances(); }),
+        Lookups(Node.Loop, [this](auto Path, auto Query) {
+          return lookUp(Path, Query);
+        }),
+        Readiness(Node.Loop,
+                  [this](auto Path, auto /*Query*/) { return ready(Path); }),
+        MetricsServer(Node.Loop, [this](auto /*Path*/, auto /*Query*/) {
+          return small_answer{200, "text/plain; version=0.0.4",
+                              Node.Metrics.expose()};
+        }) {}
+
+  result<bool> start() {
+    const node_settings &Settings = Node.Settings;
+    Node.Fleet.Own = {Settings.Instance,
+                      Settings.FailureDomain,
+                      Settings.Region,
+                      Settings.Listen.Callers,
+                      Settings.Listen.Peers,
+                      cat(getpid(), "-",
+                                   Node.Loop.now().time_since_epoch().count()),
+                      Settings.Processor};
+    TRY(Callers.listen(TRY(parseEndpoint(Settings.Listen.Callers))));
+    TRY(Lookups.listen(TRY(parseEndpoint(Settings.Listen.Lookups))));
+    TRY(Readiness.listen(TRY(parseEndpoint(Settings.Listen.Readiness))));
+    TRY(Peers.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
+    if (!Settings.Listen.Metrics.empty())
+      TRY(MetricsServer.listen(TRY(parseEndpoint(Settings.Listen.Metrics))));
+    TRY(watchSignals());
+    Store.start();
+    Node.Loop.atEndOfRound(
+        [this] { Node.Fleet.OwnIsReady = Node.isReady(); });
+    Node.Log.write(log_kind::Process, "started",
+                   {{"failure_domain", Settings.FailureDomain},
+                    {"callers", Settings.Listen.Callers}},
+                   Node.Loop.now());
+    return true;
+  }
+
+  void run() {
+    Node.Loop.run();
+    Node.Log.write(log_kind::Process, "stopped", {}, Node.Loop.now());
+    Node.Log.flush();
+  }
+
+private:
+  small_answer lookUp(std::string_view Path, std::string_view Query) {
+    if (Path != platform::LookupPath)
+      return {404, "application/json", "{}"};
+    const auto Addresses =
+        addressesFor(Node.Fleet, queryValue(Query, "zone"),
+                     queryValue(Query, "region"));
+    if (Addresses.empty())
+      return {503, "application/json", "{}"};
+    const duration TimeToLive =
+        std::min(LongestLookup, Node.Settings.Bounds.LookupTimeToLive);
+    return {200, "application/json",
+            platform::encodeAddresses(Addresses, TimeToLive)};
+  }
+
+  small_answer ready(std::string_view Path) const {
+    if (Path != platform::ReadinessPath)
+      return {404, "application/json", "{}"};
+    return {Node.isReady() ? 200 : 503, "application/json", "{}"};
+  }
+
+  result<bool> watchSignals() {
+    int Ends[2] = {-1, -1};
+    if (pipe2(Ends, O_NONBLOCK | O_CLOEXEC) != 0 ||
+        !Node.Loop.watch(Ends[0], *this))
+      return fail(error_code::Unavailable, "can't watch signals");
+    SignalSource = Ends[0];
+    SignalPipe = Ends[1];
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGHUP, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    return true;
+  }
+
+  void onEvent(const io_event & /*Event*/) override {
+    char Signal = 0;
+    while (read(SignalSource, &Signal, 1) == 1) {
+      if (Signal == SIGHUP)
+        reload();
+      else
+        leave();
+    }
+  }
+
+  void reload() {
+    auto Settings = loadNodeSettings(SettingsFile);
+    if (!Settings) {
+      Node.Log.write(log_kind::Process, "reload_failed",
+                     {{"why", Settings.error().Message}}, Node.Loop.now());
+      return;
+    }
+    // Addresses stay as they are: connections stand on them.
+    Node.Settings.Bounds = Settings->Bounds;
+    Node.Settings.Store = Settings->Store;
+    Node.Settings.MemoryMb = Settings->MemoryMb;
+    Node.Steering.Repeats.Bounds = {Settings->Bounds.RepeatRatio,
+                                    Settings->Bounds.RepeatWindow,
+                                    Settings->Bounds.RepeatSlack};
+    for (const auto &[Domain, Region] : Settings->FailureDomains)
+      Node.Steering.Targets.RegionOfDomain[Domain] = Region;
+    Node.Log.write(log_kind::Process, "reloaded", {}, Node.Loop.now());
+  }
+
+  void leave() {
+    if (Node.IsLeaving)
+      return;
+    Node.IsLeaving = true;
+    LeaveBegan = Node.Loop.now();
+    const duration Grace = Node.Settings.Bounds.GracePeriod;
+    Node.RefusesFrom = LeaveBegan + Grace - RefuseBeforeEnd;
+    Peers.leave();
+    Node.Log.write(log_kind::Process, "leaving", {}, LeaveBegan);
+    Node.Loop.every(LeaveCheckPeriod, [this, Grace] { checkLeave(Grace); });
+  }
+
+  void checkLeave(duration Grace) {
+    const duration Passed = Node.Loop.now() - LeaveBegan;
+    const bool IsOver = Passed >= ShortestLeave && !Callers.isBusy();
+    if (IsOver || Passed >= Grace - EndMargin) {
+      Callers.stopListening();
+      Node.Loop.stop();
+      return;
+    }
+    if (Node.Loop.now() >= Node.RefusesFrom)
+      Callers.endIdleConnections();
+  }
+
+  std::string SettingsFile;
+  node Node;
+  target_pool Pool;
+  caller_server Callers;
+  store_sync Store;
+  peer_link Peers;
+  small_server Lookups;
+  small_server Readiness;
+  small_server MetricsServer;
+  int SignalSource = -1;
+  instant LeaveBegan{};
+};
+
+static int serve(const std::string &SettingsFile) {
+  auto Settings = loadNodeSettings(SettingsFile);
+  if (!Settings) {
+    std::cerr << Settings.error().Message << "\n";
+    return 2;
+  }
+  const wire_names Wire{platform::RequestIdHeader,
+                        platform::TimeLeftHeader,
+                        platform::ObjectKeyHeader,
+                        platform::SignatureHeader,
+                        platform::ExpectedTargetHeader,
+                        platform::LoadHeader,
+                        platform::NotRunHeader,
+                        platform::decodeLoad};
+  node_program Program(std::move(*Settings), Wire, SettingsFile);
+  if (auto Started = Program.start(); !Started) {
+    std::cerr << Started.error().Message << "\n";
+    return 1;
+  }
+  Program.run();
+  return 0;
+}
+
+} // namespace amaranthhoist
+
+int main(int ArgumentCount, char **Arguments) {
+  cxxopts::Options Options("amaranthhoist-node",
+                           "Steers callers' requests to backend servers.");
+  Options.add_options()("settings", "settings file, YAML",
+                        cxxopts::value<std::string>())("help", "show this");
+  std::string File;
+  try {
+    const auto Parsed = Options.parse(ArgumentCount, Arguments);
+    if (Parsed.count("help") > 0) {
+      std::cout << Options.help();
+      return 0;
+    }
+    const char *FromEnvironment =
+        std::getenv(amaranthhoist::SettingsVariable);
+    if (Parsed.count("settings") > 0)
+      File = Parsed["settings"].as<std::string>();
+    else if (FromEnvironment)
+      File = FromEnvironment;
+  } catch (const std::exception &Exception) {
+    std::cerr << Exception.what() << "\n";
+    return 2;
+  }
+  if (File.empty()) {
+    std::cerr << "no settings file: give --settings or set "
+              << amaranthhoist::SettingsVariable << "\n";
+    return 2;
+  }
+  return amaranthhoist::serve(File);
+}
--- /dev/null
+++ b/Services/Node/node.cpp
@@ -0,0 +1,28 @@
+#include "node.h"
+
+#include <unistd.h>
+
+namespace amaranthhoist {
+
+/// Log lines wait at most this long for the kernel.
+static constexpr duration LogFlushPeriod = std::chrono::milliseconds(200);
+
+node::node(node_settings InitialSettings, const wire_names &Wire)
+    : Settings(std::move(InitialSettings)), Wire(Wire),
+      Log(STDOUT_FILENO, Settings.Instance) {
+  Loop.atEndOfRound([this] { Retired.clear(); });
+  Loop.every(LogFlushPeriod, [this] { Log.flush(); });
+  Steering.Repeats.Bounds = {Settings.Bounds.RepeatRatio,
+                             Settings.Bounds.RepeatWindow,
+                             Settings.Bounds.RepeatSlack};
+  for (const auto &[Domain, Region] : Settings.FailureDomains)
+    Steering.Targets.RegionOfDomain.emplace(Domain, Region);
+  Steering.Instances = {stableHash(Settings.Instance)};
+}
+
+bool node::isReady() const {
+  return Steering.Routes.has_value() && !Steering.Targets.ById.empty() &&
+         !IsLeaving;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/node.h
@@ -0,0 +1,67 @@
+/// What all parts of the node program share: the loop, the decisions' state,
+/// and where they report to.
+#pragma once
+
+#include "EventLog/event_log.h"
+#include "EventLoop/event_loop.h"
+#include "Fleet/fleet.h"
+#include "Metrics/metrics.h"
+#include "NodeSettings/node_settings.h"
+#include "Steering/steering.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhoist {
+
+/// Names of the header fields that carry meaning between callers, nodes and
+/// backend servers, and the decoder of the load field. The adapter of the
+/// place where the node runs supplies them.
+struct wire_names {
+  std::string_view RequestId;
+  std::string_view TimeLeft;
+  std::string_view ObjectKey;
+  /// Proves that a backend server made an answer.
+  std::string_view Signature;
+  /// Asks every other backend server to refuse.
+  std::string_view ExpectedTarget;
+  std::string_view Load;
+  /// The backend server did not run the request.
+  std::string_view NotRun;
+  std::optional<target_load> (*DecodeLoad)(std::string_view);
+};
+
+/// Something that is destroyed after the present round of events, because its
+/// own code may still be on the stack.
+class retirable {
+public:
+  virtual ~retirable() = default;
+};
+
+struct node {
+  node(node_settings Settings, const wire_names &Wire);
+
+  event_loop Loop;
+  node_settings Settings;
+  wire_names Wire;
+  event_log Log;
+  metrics_registry Metrics;
+  steering Steering;
+  fleet Fleet;
+  /// SIGTERM came: finish what is there and leave.
+  bool IsLeaving = false;
+  /// From then on nothing new is taken; set with IsLeaving.
+  instant RefusesFrom{};
+  /// Bytes of requests' bodies held, all callers together.
+  std::size_t HeldBodyBytes = 0;
+  std::vector<std::unique_ptr<retirable>> Retired;
+
+  /// Whether it knows enough to serve callers, and isn't leaving.
+  [[nodiscard]] bool isReady() const;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/peer_link.h
@@ -0,0 +1,39 @@
+/// Carries the messages of the membership between nodes, as datagrams, and
+/// drives its clock.
+#pragma once
+
+#include "EventLoop/socket.h"
+#include "PeerMessages/peer_messages.h"
+#include "node.h"
+
+#include <functional>
+#include <string>
+
+namespace amaranthhoist {
+
+class peer_link : private io_handler {
+public:
+  /// \p OnStranger is called when an unknown node speaks.
+  peer_link(node &Node, std::function<void()> OnStranger);
+  ~peer_link() override;
+
+  result<bool> listen(const endpoint &Endpoint);
+  /// Tells all others that this node leaves, and falls silent.
+  void leave();
+
+private:
+  void onEvent(const io_event &Event) override;
+  void take(std::string_view Bytes, const endpoint &Source);
+  void tick();
+  void send(const membership_message &Message, const endpoint &To);
+  void sendAll(std::span<const outgoing_membership_message> Messages);
+  void reportChanges();
+
+  node &Node;
+  std::function<void()> OnStranger;
+  int Descriptor = -1;
+  bool HasLeft = false;
+  std::set<std::string> ReportedDown;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/store_caller.cpp
@@ -0,0 +1,86 @@
+#include "store_caller.h"
+
+#include "Text/text.h"
+
+
+namespace amaranthhoist {
+
+/// A store that acknowledges nothing for so long counts as gone, so that a
+/// watch on a connection that died silently doesn't stay blind: changes must
+/// be known within 2.5 s.
+static constexpr duration StoreSilence = std::chrono::milliseconds(1'000);
+
+store_caller::store_caller(node &Node) : Node(Node) {}
+
+store_caller::~store_caller() { Node.Loop.cancel(Timer); }
+
+void store_caller::dropConnection() {
+  if (!Connection)
+    return;
+  struct retired_connection : retirable {
+    std::unique_ptr<client_connection> Connection;
+  };
+  Connection->close();
+  auto Retired = std::make_unique<retired_connection>();
+  Retired->Connection = std::move(Connection);
+  Node.Retired.push_back(std::move(Retired));
+}
+
+void store_caller::call(std::string_view Method, std::string_view Path,
+                        std::string_view CallBody, duration Time,
+                        std::function<void(store_answer)> WhenDone) {
+  Done = std::move(WhenDone);
+  Status = 0;
+  Body.clear();
+  Timer = Node.Loop.after(Time, [this] {
+    Timer = 0;
+    dropConnection();
+    finish(0);
+  });
+  if (Connection && !Connection->isOpen())
+    dropConnection();
+  if (!Connection) {
+    auto Endpoint = parseEndpoint(Node.Settings.Store);
+    Connection = std::make_unique<client_connection>(Node.Loop);
+    if (!Endpoint || !Connection->connect(*Endpoint, StoreSilence)) {
+      // The timer ends the call: calling back at once would recurse.
+      dropConnection();
+      return;
+    }
+  }
+  std::string Text;
+  append(Text, Method, " ", Path, " HTTP/1.1\r\nHost: ",
+                  Node.Settings.Store, "\r\n");
+  if (!CallBody.empty())
+    append(Text, "Content-Type: application/json\r\nContent-Length: ",
+                    CallBody.size(), "\r\n");
+  append(Text, "\r\n", CallBody);
+  Connection->call(*this, Text, /*IsHead=*/false);
+}
+
+bool store_caller::onHead(const message_head &Head) {
+  Status = Head.status();
+  return true;
+}
+
+void store_caller::onBody(std::string &Piece) {
+  Body.append(Piece);
+  Piece.clear();
+}
+
+void store_caller::onComplete() { finish(Status); }
+
+void store_caller::onFailure(const call_failure & /*Failure*/) {
+  dropConnection();
+  finish(0);
+}
+
+void store_caller::finish(int WithStatus) {
+  Node.Loop.cancel(Timer);
+  auto Callback = std::move(Done);
+  Done = nullptr;
+  if (Callback)
+    Callback({WithStatus, std::move(Body)});
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/store_caller.h
@@ -0,0 +1,47 @@
+/// One connection to the platform's store, for one call after another. Every
+/// call ends: with an answer, or with a failure after its time.
+#pragma once
+
+#include "HttpConnection/client_connection.h"
+#include "node.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace amaranthhoist {
+
+struct store_answer {
+  /// 0: no answer.
+  int Status = 0;
+  std::string Body;
+};
+
+class store_caller : private call_owner {
+public:
+  explicit store_caller(node &Node);
+  ~store_caller() override;
+
+  /// Makes a call; \p Done gets its answer. One at a time.
+  void call(std::string_view Method, std::string_view Path,
+            std::string_view Body, duration Time,
+            std::function<void(store_answer)> Done);
+
+private:
+  bool onHead(const message_head &Head) override;
+  void onBody(std::string &Body) override;
+  void onComplete() override;
+  void onFailure(const call_failure &Failure) override;
+  void finish(int Status);
+  void dropConnection();
+
+  node &Node;
+  std::unique_ptr<client_connection> Connection;
+  std::function<void(store_answer)> Done;
+  timer_id Timer = 0;
+  int Status = 0;
+  std::string Body;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/target_pool.h
@@ -0,0 +1,38 @@
+/// Kept connections to the backend servers. A new one costs a server time and
+/// the caller a round trip, so they are used again as long as that is safe.
+#pragma once
+
+#include "HttpConnection/client_connection.h"
+#include "node.h"
+#include "Text/text.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranthhoist {
+
+class target_pool {
+public:
+  explicit target_pool(node &Node);
+
+  /// A kept connection to \p Target, the one that was used last; none when
+  /// there is none that the server surely still keeps.
+  std::unique_ptr<client_connection> take(const target &Target,
+                                          work_class Class);
+  /// Begins a new connection; nullptr when that fails at once.
+  std::unique_ptr<client_connection> open(const target &Target);
+  /// Keeps a connection for later, or closes it.
+  void put(const target &Target, std::unique_ptr<client_connection> Connection);
+
+private:
+  void sweep();
+  bool isFresh(const client_connection &Connection, work_class Class) const;
+
+  node &Node;
+  /// By the server's id.
+  text_map<std::vector<std::unique_ptr<client_connection>>>
+      Idle;
+};
+
+} // namespace amaranthhoist
