--- a/Services/Node/kind_follower.h
+++ b/Services/Node/kind_follower.h
@@ -14,7 +14,7 @@
 namespace amaranthhoist {
 
 /// The longest that a watch waits at the store; each further call costs.
-inline constexpr duration WatchWait = std::chrono::seconds(15);
+inline constexpr duration WatchWait = std::chrono::seconds(10);
 /// Longer than the store's slowest answers while it is in trouble.
 inline constexpr duration ListTime = std::chrono::milliseconds(1'500);
 /// For an answer to come back after the store's wait.
@@ -33,6 +33,13 @@
 
   void start() { step(); }
 
+  /// Gives up on the call under way and makes it anew: the store may have
+  /// forgotten it without a sign on its connection.
+  void restart() {
+    if (Caller.abandon())
+      step();
+  }
+
   /// When a call failed last, and whether the last one failed.
   instant LastTrouble{};
   bool IsAway = false;
--- a/Services/Node/store_caller.cpp
+++ b/Services/Node/store_caller.cpp
@@ -58,6 +58,15 @@
   Connection->call(*this, Text, /*IsHead=*/false);
 }
 
+bool store_caller::abandon() {
+  if (!Done)
+    return false;
+  Node.Loop.cancel(Timer);
+  Done = nullptr;
+  dropConnection();
+  return true;
+}
+
 bool store_caller::onHead(const message_head &Head) {
   Status = Head.status();
   return true;
--- a/Services/Node/store_caller.h
+++ b/Services/Node/store_caller.h
@@ -28,6 +28,10 @@
             std::string_view Body, duration Time,
             std::function<void(store_answer)> Done);
 
+  /// Drops a call under way, whose callback isn't called; false when there is
+  /// none.
+  bool abandon();
+
 private:
   bool onHead(const message_head &Head) override;
   void onBody(std::string &Body) override;
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -18,6 +18,14 @@
 static constexpr duration ListingPeriod = std::chrono::seconds(20);
 /// Between two listings at least.
 static constexpr duration ListingPause = std::chrono::milliseconds(700);
+/// The store is asked for a sign of life this often. When it falls silent it
+/// may forget the watches that wait there, without closing their connections:
+/// a node would stay blind until they time out, while changes must be in force
+/// 2.5 s after they were accepted.
+static constexpr duration ProbePeriod = std::chrono::milliseconds(1'000);
+static constexpr duration ProbePeriodInDoubt = std::chrono::milliseconds(300);
+/// Longer than the store's answers take while it is slow.
+static constexpr duration ProbeTime = std::chrono::milliseconds(700);
 static constexpr duration HousekeepingPeriod = std::chrono::milliseconds(250);
 
 store_sync::store_sync(node &Node)
@@ -37,7 +45,7 @@
                    [this](auto &Change) {
                      setDomainEvacuated(Change.Object.Name, !Change.IsDeleted);
                    }}),
-      Writer(Node), Lister(Node) {}
+      Writer(Node), Prober(Node), Lister(Node) {}
 
 void store_sync::start() {
   Configurations.start();
@@ -45,6 +53,7 @@
   Evacuations.start();
   registerNode();
   listInstances();
+  Node.Loop.after(ProbePeriod, [this] { probe(); });
   Node.Loop.every(HousekeepingPeriod, [this] {
     const instant Now = Node.Loop.now();
     removeMissing(Node.Steering.Targets, Now);
@@ -131,6 +140,29 @@
     setDomainEvacuated(Object.Name, true);
 }
 
+void store_sync::probe() {
+  Prober.call("GET", platform::encodeProbePath(platform::EvacuationKind), {},
+              ProbeTime, [this](const store_answer &Answer) {
+                takeProbe(Answer.Status == 200);
+                Node.Loop.after(IsInDoubt ? ProbePeriodInDoubt : ProbePeriod,
+                                [this] { probe(); });
+              });
+}
+
+void store_sync::takeProbe(bool IsAnswered) {
+  if (IsAnswered != IsInDoubt)
+    return;
+  IsInDoubt = !IsAnswered;
+  Node.Log.write(log_kind::Belief, IsInDoubt ? "store_silent" : "store_answers",
+                 {}, Node.Loop.now());
+  Targets.LastTrouble = Node.Loop.now();
+  if (IsInDoubt)
+    return;
+  Configurations.restart();
+  Targets.restart();
+  Evacuations.restart();
+}
+
 void store_sync::refreshInstances() {
   NextListing = std::min(NextListing, Node.Loop.now() + ListingPause);
 }
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -26,6 +26,8 @@
   void setDomainEvacuated(const std::string &Domain, bool IsEvacuated);
   bool listIsSure() const;
 
+  void probe();
+  void takeProbe(bool IsAnswered);
   void listInstances();
   void takeInstances(const store_answer &Answer);
   void registerNode();
@@ -36,9 +38,12 @@
   kind_follower<target_entry> Targets;
   kind_follower<platform::evacuation> Evacuations;
   store_caller Writer;
+  store_caller Prober;
   store_caller Lister;
   bool IsRegistered = false;
   bool IsListing = false;
+  /// Whether the last probe of the store went unanswered.
+  bool IsInDoubt = false;
   instant NextListing{};
 };
 
