--- a/Libraries/Targets/targets.cpp
+++ b/Libraries/Targets/targets.cpp
@@ -6,9 +6,6 @@
 
 namespace amaranthhoist {
 
-/// Entries that lapsed while the platform's store was away are back within two
-/// seconds of its return; a little is added for the way here.
-static constexpr duration LapseGrace = std::chrono::milliseconds(2'300);
 /// First time out of use after a failed connection, and the longest; doubled
 /// in between. Short, since a trial costs one request little.
 static constexpr duration FirstEjection = std::chrono::milliseconds(400);
@@ -67,7 +64,7 @@
   const bool WasLeaving = Target.Entry.IsLeaving;
   Target.Entry = Entry;
   Target.Entry.IsLeaving = Entry.IsLeaving || WasLeaving;
-  Target.MissingSince.reset();
+  Target.IsMissing = false;
   auto Region = Directory.RegionOfDomain.find(Entry.FailureDomain);
   if (Region != Directory.RegionOfDomain.end())
     Target.Region = Region->second;
@@ -76,7 +73,7 @@
 }
 
 void removeTarget(target_directory &Directory, std::string_view Id,
-                  bool ListIsSure, instant Now) {
+                  bool ListIsSure) {
   auto Found = Directory.ById.find(Id);
   if (Found == Directory.ById.end())
     return;
@@ -85,25 +82,23 @@
     depart(Directory, Id);
     return;
   }
-  if (!Target.MissingSince)
-    Target.MissingSince = Now;
+  Target.IsMissing = true;
 }
 
-void keepOnly(target_directory &Directory,
-              const text_set &Ids, bool ListIsSure,
-              instant Now) {
+void keepOnly(target_directory &Directory, const text_set &Ids,
+              bool ListIsSure) {
   std::vector<std::string> Missing;
   for (const auto &[Id, Target] : Directory.ById)
     if (!Ids.contains(Id))
       Missing.push_back(Id);
   for (const std::string &Id : Missing)
-    removeTarget(Directory, Id, ListIsSure, Now);
+    removeTarget(Directory, Id, ListIsSure);
 }
 
-void removeMissing(target_directory &Directory, instant Now) {
+void removeMissing(target_directory &Directory) {
   std::vector<std::string> Gone;
   for (const auto &[Id, Target] : Directory.ById)
-    if (Target->MissingSince && Now >= *Target->MissingSince + LapseGrace)
+    if (Target->IsMissing)
       Gone.push_back(Id);
   for (const std::string &Id : Gone)
     depart(Directory, Id);
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -82,9 +81,9 @@
   instant ColdUntil{};
   /// Earliest time of the next request while it is cold.
   instant NextColdRequest{};
-  /// Missing from the list since; set only while the miss may be a lapse of
-  /// the list and not the server's end.
-  std::optional<instant> MissingSince;
+  /// Missing from the list, which may be a lapse of the list and not the
+  /// server's end.
+  bool IsMissing = false;
   /// When this instance learned of it.
   instant FirstSeen{};
 };
@@ -106,17 +105,16 @@
                instant Now);
 
 /// Takes a server out. While the list is unsure (\p ListIsSure false: it was
-/// away a moment ago) a server that answers stays for a while.
+/// away a moment ago) the server stays until removeMissing().
 void removeTarget(target_directory &Directory, std::string_view Id,
-                  bool ListIsSure, instant Now);
+                  bool ListIsSure);
 
 /// Takes out what a whole new list doesn't have.
-void keepOnly(target_directory &Directory,
-              const text_set &Ids, bool ListIsSure,
-              instant Now);
+void keepOnly(target_directory &Directory, const text_set &Ids,
+              bool ListIsSure);
 
-/// Takes out servers that are still missing after the list had time to mend.
-void removeMissing(target_directory &Directory, instant Now);
+/// Takes out servers that are still missing, now that the list is sure.
+void removeMissing(target_directory &Directory);
 
 /// Frees departed servers without requests. A pointer to a server is valid
 /// while a request is counted there.
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -7,9 +7,10 @@
 
 namespace amaranthhoist {
 
-/// After trouble with the store the list may miss servers that live; they are
-/// back within two seconds of its return.
-static constexpr duration UnsureAfterTrouble = std::chrono::milliseconds(2'500);
+/// After trouble with the store the list may miss servers that live: entries
+/// that lapsed are back within two seconds of its return; a little is added for
+/// the way here. What is missing then is gone.
+static constexpr duration UnsureAfterTrouble = std::chrono::milliseconds(2'200);
 /// Time of a write, and between two tries.
 static constexpr duration WriteTime = std::chrono::milliseconds(1'500);
 static constexpr duration WriteAgain = std::chrono::milliseconds(500);
@@ -26,7 +27,7 @@
 static constexpr duration ProbePeriodInDoubt = std::chrono::milliseconds(300);
 /// Longer than the store's answers take while it is slow.
 static constexpr duration ProbeTime = std::chrono::milliseconds(700);
-static constexpr duration HousekeepingPeriod = std::chrono::milliseconds(250);
+static constexpr duration HousekeepingPeriod = std::chrono::milliseconds(150);
 
 store_sync::store_sync(node &Node)
     : Node(Node),
@@ -56,7 +57,8 @@
   Node.Loop.after(ProbePeriod, [this] { probe(); });
   Node.Loop.every(HousekeepingPeriod, [this] {
     const instant Now = Node.Loop.now();
-    removeMissing(Node.Steering.Targets, Now);
+    if (listIsSure())
+      removeMissing(Node.Steering.Targets);
     freeDeparted(Node.Steering.Targets);
     if (Now >= NextListing)
       listInstances();
@@ -78,7 +80,7 @@
 }
 
 bool store_sync::listIsSure() const {
-  return !Targets.IsAway &&
+  return !IsInDoubt &&
          Node.Loop.now() - Targets.LastTrouble > UnsureAfterTrouble;
 }
 
@@ -88,7 +90,7 @@
     Ids.insert(Object.Name);
     putTarget(Node.Steering.Targets, Object.Value, Node.Loop.now());
   }
-  keepOnly(Node.Steering.Targets, Ids, listIsSure(), Node.Loop.now());
+  keepOnly(Node.Steering.Targets, Ids, listIsSure());
   Node.Log.write(log_kind::Belief, "servers_listed",
                  {{"servers", static_cast<std::int64_t>(All.size())},
                   {"sure", listIsSure()}},
@@ -98,8 +100,7 @@
 void store_sync::takeTarget(stored_change<target_entry> &Change) {
   const target_entry &Entry = Change.Object.Value;
   if (Change.IsDeleted)
-    removeTarget(Node.Steering.Targets, Change.Object.Name, listIsSure(),
-                 Node.Loop.now());
+    removeTarget(Node.Steering.Targets, Change.Object.Name, listIsSure());
   else
     putTarget(Node.Steering.Targets, Entry, Node.Loop.now());
   Node.Log.write(log_kind::Belief,
