--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -12,7 +12,7 @@
 static constexpr std::size_t PlacesUnderPressure = 2;
 /// Places while there is room to spare: a cold server is then better than a
 /// refusal.
-static constexpr std::size_t PlacesAtEase = 4;
+static constexpr std::size_t PlacesAtEase = 2;
 /// Share of a service's slots that are taken when pressure begins.
 static constexpr double PressureAt = 0.6;
 /// Slots beyond a server's own that each step of urgency may use: the server
@@ -43,6 +43,8 @@
     return "too_late";
   case refusal::NoRepeats:
     return "no_repeats";
+  case refusal::Leaving:
+    return "leaving";
   }
   return "unknown";
 }
@@ -58,6 +60,14 @@
   return true;
 }
 
+duration longestTimeout(const steering &Steering) {
+  duration Longest{};
+  if (Steering.Routes)
+    for (const route &Route : Steering.Routes->Configuration.Routes)
+      Longest = std::max(Longest, Route.Timeout);
+  return Longest;
+}
+
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts) {
   if (!Steering.Routes)
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -69,6 +69,8 @@
   TooLate,
   /// Repeats are used up.
   NoRepeats,
+  /// This instance leaves and couldn't end the request in time.
+  Leaving,
 };
 
 /// The name of a refusal in logs and metrics.
@@ -87,6 +89,9 @@
   instant Arrived{};
 };
 
+/// The longest time that a request may take by the routes in force.
+duration longestTimeout(const steering &Steering);
+
 /// Finds the route of a request and makes its plan.
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts);
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -29,6 +29,10 @@
 }
 
 void exchange::begin() {
+  if (Node.refusesRequests()) {
+    refuse(refusal::Leaving);
+    return;
+  }
   const std::size_t Mark = Request.Target.find('?');
   const request_facts Facts{
       Request.Host,
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -27,9 +27,8 @@
 /// A leaving node stays at least this long, so that callers with older
 /// look-ups find it.
 static constexpr duration ShortestLeave = std::chrono::milliseconds(3'200);
-/// Before the end of the grace period nothing new is taken for this long, and
-/// everything must be over a moment before the end.
-static constexpr duration RefuseBeforeEnd = std::chrono::milliseconds(1'900);
+/// Everything must be over this long before the end of the grace period, when
+/// the process is killed.
 static constexpr duration EndMargin = std::chrono::milliseconds(350);
 static constexpr duration LeaveCheckPeriod = std::chrono::milliseconds(50);
 
@@ -163,7 +162,10 @@
     Node.IsLeaving = true;
     LeaveBegan = Node.Loop.now();
     const duration Grace = Node.Settings.Bounds.GracePeriod;
-    Node.RefusesFrom = LeaveBegan + Grace - RefuseBeforeEnd;
+    // What is taken later could be cut off halfway by the end of the process.
+    Node.RefusesFrom =
+        LeaveBegan + std::max(Grace / 2, Grace - EndMargin -
+                                             longestTimeout(Node.Steering));
     Peers.leave();
     Node.Log.write(log_kind::Process, "leaving", {}, LeaveBegan);
     Node.Loop.every(LeaveCheckPeriod, [this, Grace] { checkLeave(Grace); });
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -54,7 +54,7 @@
   fleet Fleet;
   /// SIGTERM came: finish what is there and leave.
   bool IsLeaving = false;
-  /// From then on nothing new is taken; set with IsLeaving.
+  /// From then on a leaving node takes no new requests.
   instant RefusesFrom{};
   /// Bytes of requests' bodies held, all callers together.
   std::size_t HeldBodyBytes = 0;
@@ -62,6 +62,10 @@
 
   /// Whether it knows enough to serve callers, and isn't leaving.
   [[nodiscard]] bool isReady() const;
+  /// Whether it leaves and can't surely end another request in time.
+  [[nodiscard]] bool refusesRequests() const {
+    return IsLeaving && Loop.now() >= RefusesFrom;
+  }
 };
 
 } // namespace amaranthhoist
