--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -20,6 +20,13 @@
 /// while less urgent ones are served.
 static constexpr double RoomPerUrgency = 1;
 static constexpr double MostRoomForUrgency = 2;
+/// The longest predicted wait for a slot, as a share of the route's objective.
+/// Waiting a little at a server that is warm for the object beats a cold one,
+/// which works about three times as long and loses something warm for it; but
+/// what waits longer than its objective is late in any case.
+static constexpr double MostWait = 0.8;
+/// Work of a server that hasn't answered yet.
+static constexpr duration AssumedWork = std::chrono::milliseconds(400);
 /// Less time than this before the deadline: nothing can be run.
 static constexpr duration LeastTime = std::chrono::milliseconds(30);
 /// Bounds of the time to come back, before the share of the time left.
@@ -110,12 +117,27 @@
   return Slots > 0 ? Load / Slots : 1;
 }
 
+/// How long a request would wait for a slot of \p Target.
+static duration predictedWait(const target &Target, double Urgency,
+                              instant Now) {
+  const double Slots = Target.Entry.Slots;
+  const double Before = estimatedLoad(Target, Now) - Urgency - Slots + 1;
+  if (Before <= 0)
+    return duration::zero();
+  const duration Mean =
+      Target.MeanTime > duration::zero() ? Target.MeanTime : AssumedWork;
+  return duration(static_cast<std::int64_t>(
+      Before / Slots * static_cast<double>(Mean.count())));
+}
+
 static bool hasRoom(const steering &Steering, const request_plan &Plan,
                     const target &Target, instant Now) {
   const double Urgency =
       std::min(MostRoomForUrgency,
                RoomPerUrgency * (Steering.LeastUrgent - Plan.Priority));
-  return estimatedLoad(Target, Now) < Target.Entry.Slots + Urgency;
+  const duration Longest(static_cast<std::int64_t>(
+      MostWait * static_cast<double>(Plan.Objective.count())));
+  return predictedWait(Target, Urgency, Now) <= Longest;
 }
 
 static double ownColdRate(const steering &Steering, const target &Target) {
