--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -17,3 +17,24 @@
   onBehalfOf @3 :Text;
   beliefs @4 :List(Belief);
 }
+
+struct ObjectChange {
+  name @0 :Text;
+  isDeleted @1 :Bool;
+  text @2 :Text;
+}
+
+struct KindChanges {
+  kind @0 :UInt8;
+  atRevision @1 :UInt64;
+  isFull @2 :Bool;
+  changes @3 :List(ObjectChange);
+}
+
+struct CacheChanges {
+  incarnation @0 :UInt64;
+  sequence @1 :UInt64;
+  ageUs @2 :Int64;
+  kinds @3 :List(KindChanges);
+  listIsSure @4 :Bool;
+}
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -18,6 +18,9 @@
 
 CAPNP_DECLARE_SCHEMA(b85c28ac47d6e2ad);
 CAPNP_DECLARE_SCHEMA(9e71e0a2afa59a12);
+CAPNP_DECLARE_SCHEMA(bfc9645bf48c0080);
+CAPNP_DECLARE_SCHEMA(c7e8f9af567096ef);
+CAPNP_DECLARE_SCHEMA(94cfe3fc67bfa06d);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -55,6 +58,51 @@
   };
 };
 
+struct ObjectChange {
+  ObjectChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bfc9645bf48c0080, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct KindChanges {
+  KindChanges() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7e8f9af567096ef, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CacheChanges {
+  CacheChanges() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Belief::Reader {
@@ -264,6 +312,299 @@
 };
 #endif  // !CAPNP_LITE
 
+class ObjectChange::Reader {
+public:
+  typedef ObjectChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool getIsDeleted() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ObjectChange::Builder {
+public:
+  typedef ObjectChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool getIsDeleted();
+  inline void setIsDeleted(bool value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ObjectChange::Pipeline {
+public:
+  typedef ObjectChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class KindChanges::Reader {
+public:
+  typedef KindChanges Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint64_t getAtRevision() const;
+
+  inline bool getIsFull() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KindChanges::Builder {
+public:
+  typedef KindChanges Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint64_t getAtRevision();
+  inline void setAtRevision( ::uint64_t value);
+
+  inline bool getIsFull();
+  inline void setIsFull(bool value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KindChanges::Pipeline {
+public:
+  typedef KindChanges Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CacheChanges::Reader {
+public:
+  typedef CacheChanges Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline bool hasKinds() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader getKinds() const;
+
+  inline bool getListIsSure() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CacheChanges::Builder {
+public:
+  typedef CacheChanges Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline bool hasKinds();
+  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder getKinds();
+  inline void setKinds( ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder initKinds(unsigned int size);
+  inline void adoptKinds(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>> disownKinds();
+
+  inline bool getListIsSure();
+  inline void setListIsSure(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CacheChanges::Pipeline {
+public:
+  typedef CacheChanges Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Belief::Reader::hasName() const {
@@ -478,6 +819,254 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool ObjectChange::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ObjectChange::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ObjectChange::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ObjectChange::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ObjectChange::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ObjectChange::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ObjectChange::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ObjectChange::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ObjectChange::Reader::getIsDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ObjectChange::Builder::getIsDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ObjectChange::Builder::setIsDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ObjectChange::Reader::hasText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ObjectChange::Builder::hasText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ObjectChange::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ObjectChange::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ObjectChange::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ObjectChange::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ObjectChange::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ObjectChange::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t KindChanges::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t KindChanges::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KindChanges::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KindChanges::Reader::getAtRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindChanges::Builder::getAtRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KindChanges::Builder::setAtRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KindChanges::Reader::getIsFull() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool KindChanges::Builder::getIsFull() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void KindChanges::Builder::setIsFull(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KindChanges::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KindChanges::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Reader KindChanges::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Builder KindChanges::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KindChanges::Builder::setChanges( ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Builder KindChanges::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KindChanges::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>> KindChanges::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CacheChanges::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CacheChanges::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CacheChanges::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CacheChanges::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CacheChanges::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CacheChanges::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CacheChanges::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CacheChanges::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CacheChanges::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CacheChanges::Reader::hasKinds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CacheChanges::Builder::hasKinds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader CacheChanges::Reader::getKinds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder CacheChanges::Builder::getKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CacheChanges::Builder::setKinds( ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder CacheChanges::Builder::initKinds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CacheChanges::Builder::adoptKinds(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>> CacheChanges::Builder::disownKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CacheChanges::Reader::getListIsSure() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool CacheChanges::Builder::getListIsSure() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void CacheChanges::Builder::setListIsSure(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/PeerMessages/peer_messages.h
+++ b/Libraries/PeerMessages/peer_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Membership/membership.h"
+#include "ObjectCache/object_cache.h"
 
 #include <optional>
 #include <string>
@@ -21,4 +22,8 @@
 /// None when \p Bytes are no such datagram.
 std::optional<peer_datagram> decodeDatagram(std::string_view Bytes);
 
+/// The body with which an instance hands on objects of the store.
+std::string encodeChanges(const cache_changes &Changes);
+std::optional<cache_changes> decodeChanges(std::string_view Bytes);
+
 } // namespace amaranthhoist
--- /dev/null
+++ b/Libraries/StoreClient/list_watch.cpp
@@ -0,0 +1,53 @@
+#include "StoreClient/list_watch.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace amaranthhoist {
+
+store_request nextRequest(const list_watch &Watch) {
+  return {Watch.Next, Watch.After, Watch.Revision};
+}
+
+std::vector<stored_object> *takePage(list_watch &Watch, list_page Page) {
+  Watch.FailuresInARow = 0;
+  if (Watch.After.empty()) {
+    Watch.Pages.clear();
+    // Later pages may show later revisions: watching from the first one's
+    // misses nothing, and applying a change twice does no harm.
+    Watch.FirstPageRevision = Page.AtRevision;
+  }
+  std::move(Page.Items.begin(), Page.Items.end(),
+            std::back_inserter(Watch.Pages));
+  if (Page.HasMore && !Watch.Pages.empty()) {
+    Watch.After = Watch.Pages.back().Name;
+    return nullptr;
+  }
+  Watch.After.clear();
+  Watch.Next = store_verb::Watch;
+  Watch.Revision = Watch.FirstPageRevision;
+  return &Watch.Pages;
+}
+
+duration takeBatch(list_watch &Watch, const change_batch &Batch) {
+  Watch.FailuresInARow = 0;
+  Watch.Revision = std::max(Watch.Revision, Batch.AtRevision);
+  return Batch.Changes.empty() ? duration::zero() : Watch.Pace.AfterChanges;
+}
+
+duration takeFailure(list_watch &Watch, store_failure Failure) {
+  if (Failure == store_failure::HistoryGone) {
+    Watch.Next = store_verb::List;
+    Watch.After.clear();
+    return duration::zero();
+  }
+  // Enough doublings to reach the longest wait from the first one.
+  constexpr int MostDoublings = 8;
+  const int Doublings = std::min(Watch.FailuresInARow, MostDoublings);
+  ++Watch.FailuresInARow;
+  return std::min(Watch.Pace.FirstRetry * (1 << Doublings),
+                  Watch.Pace.LongestRetry);
+}
+
+} // namespace amaranthhoist
--- a/Libraries/StoreClient/list_watch.h
+++ b/Libraries/StoreClient/list_watch.h
@@ -5,25 +5,24 @@
 
 #include "Core/core.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace amaranthhoist {
 
-/// One object and the revision of its last change.
-template <typename T> struct stored {
+/// One object as the store wrote it.
+struct stored_object {
   std::string Name;
+  /// Of its last change.
   std::uint64_t Revision = 0;
-  T Value;
+  std::string Text;
 };
 
 /// One answer to a list.
-template <typename T> struct list_page {
-  std::vector<stored<T>> Items;
+struct list_page {
+  std::vector<stored_object> Items;
   /// Whether another page follows, from the last name on.
   bool HasMore = false;
   /// Revision of the store that the page shows.
@@ -31,14 +30,14 @@
 };
 
 /// One change.
-template <typename T> struct stored_change {
+struct stored_change {
   bool IsDeleted = false;
-  stored<T> Object;
+  stored_object Object;
 };
 
 /// One answer to a watch.
-template <typename T> struct change_batch {
-  std::vector<stored_change<T>> Changes;
+struct change_batch {
+  std::vector<stored_change> Changes;
   std::uint64_t AtRevision = 0;
 };
 
@@ -76,66 +75,27 @@
 };
 
 /// State of one kind.
-template <typename T> struct list_watch {
+struct list_watch {
   store_pace Pace;
   store_verb Next = store_verb::List;
   std::string After;
   std::uint64_t Revision = 0;
   /// Pages of the list under way.
-  std::vector<stored<T>> Pages;
+  std::vector<stored_object> Pages;
   std::uint64_t FirstPageRevision = 0;
   int FailuresInARow = 0;
-  /// Whether a list has been whole once.
-  bool HasState = false;
 };
 
-template <typename T> store_request nextRequest(const list_watch<T> &Watch) {
-  return {Watch.Next, Watch.After, Watch.Revision};
-}
-
-/// Takes in a page. Returns all objects once the list is whole.
-template <typename T>
-std::vector<stored<T>> *takePage(list_watch<T> &Watch, list_page<T> Page) {
-  Watch.FailuresInARow = 0;
-  if (Watch.After.empty()) {
-    Watch.Pages.clear();
-    // Later pages may show later revisions: watching from the first one's
-    // misses nothing, and applying a change twice does no harm.
-    Watch.FirstPageRevision = Page.AtRevision;
-  }
-  std::move(Page.Items.begin(), Page.Items.end(),
-            std::back_inserter(Watch.Pages));
-  if (Page.HasMore && !Watch.Pages.empty()) {
-    Watch.After = Watch.Pages.back().Name;
-    return nullptr;
-  }
-  Watch.After.clear();
-  Watch.Next = store_verb::Watch;
-  Watch.Revision = Watch.FirstPageRevision;
-  Watch.HasState = true;
-  return &Watch.Pages;
-}
+store_request nextRequest(const list_watch &Watch);
+
+/// Takes in a page. Returns all objects once the list is whole, nullptr before.
+/// They show the revision Watch.Revision.
+std::vector<stored_object> *takePage(list_watch &Watch, list_page Page);
 
 /// Takes in changes; how long to wait before the next call.
-template <typename T>
-duration takeChanges(list_watch<T> &Watch, const change_batch<T> &Batch) {
-  Watch.FailuresInARow = 0;
-  Watch.Revision = std::max(Watch.Revision, Batch.AtRevision);
-  return Batch.Changes.empty() ? duration::zero() : Watch.Pace.AfterChanges;
-}
+duration takeBatch(list_watch &Watch, const change_batch &Batch);
 
 /// Takes in a failure; how long to wait before the next call.
-template <typename T>
-duration takeFailure(list_watch<T> &Watch, store_failure Failure) {
-  if (Failure == store_failure::HistoryGone) {
-    Watch.Next = store_verb::List;
-    Watch.After.clear();
-    return duration::zero();
-  }
-  const int Doublings = std::min(Watch.FailuresInARow, 8);
-  ++Watch.FailuresInARow;
-  return std::min(Watch.Pace.FirstRetry * (1 << Doublings),
-                  Watch.Pace.LongestRetry);
-}
+duration takeFailure(list_watch &Watch, store_failure Failure);
 
 } // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/beliefs.h
@@ -0,0 +1,43 @@
+/// Turns the store's objects, wherever they came from, into what the node
+/// believes: its configuration, servers, evacuated failure domains and fleet.
+#pragma once
+
+#include "ObjectCache/object_cache.h"
+#include "node.h"
+
+#include <string>
+#include <string_view>
+
+namespace amaranthhoist {
+
+class beliefs {
+public:
+  explicit beliefs(node &Node);
+
+  /// Takes in changes; older ones than are known are left out.
+  void take(kind_changes Changes);
+
+  /// Notes whether the store, or who speaks for it, can be believed to list
+  /// all that lives. After trouble it can't for a while.
+  void noteTrouble();
+  [[nodiscard]] bool listIsSure() const;
+
+  [[nodiscard]] const object_cache &cache() const { return Cache; }
+
+private:
+  void apply(object_kind Kind, const object_change &Change);
+  void applyConfigurationText(const std::string &Text);
+  void applyTarget(const object_change &Change);
+  void applyEvacuation(const object_change &Change);
+  void applyInstances();
+  void tellUnreadable(object_kind Kind, std::string_view Name,
+                      std::string_view Why);
+  void keepHouse();
+
+  node &Node;
+  object_cache Cache;
+  instant LastTrouble{};
+  bool HadTrouble = false;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/kind_follower.cpp
@@ -0,0 +1,131 @@
+#include "kind_follower.h"
+
+#include "codec.h"
+
+namespace amaranthhoist {
+
+/// The longest that a watch waits at the store; each further call costs.
+static constexpr duration WatchWait = std::chrono::seconds(10);
+/// Longer than the store's slowest answers while it is in trouble.
+static constexpr duration ListTime = std::chrono::milliseconds(1'500);
+/// For an answer to come back after the store's wait.
+static constexpr duration WatchMargin = std::chrono::milliseconds(1'500);
+
+kind_follower::kind_follower(node &Node, beliefs &Beliefs, object_kind Kind)
+    : Node(Node), Beliefs(Beliefs), Kind(Kind),
+      Caller(Node, Node.Settings.Store) {}
+
+kind_follower::~kind_follower() { stop(); }
+
+void kind_follower::start() {
+  if (IsRunning)
+    return;
+  IsRunning = true;
+  // What came from others meanwhile needn't be asked for again.
+  const auto &Known = Beliefs.cache().Kinds[static_cast<std::size_t>(Kind)];
+  if (Known.HasState && Known.AtRevision > Watch.Revision) {
+    Watch.Revision = Known.AtRevision;
+    Watch.Next = store_verb::Watch;
+  }
+  step();
+}
+
+void kind_follower::stop() {
+  IsRunning = false;
+  Node.Loop.cancel(NextStep);
+  Caller.abandon();
+}
+
+void kind_follower::restart() {
+  if (IsRunning && Caller.abandon())
+    step();
+}
+
+void kind_follower::step() {
+  const store_request Request = nextRequest(Watch);
+  const bool IsWatch = Request.Verb == store_verb::Watch;
+  Caller.call("GET", platform::encodeRequestPath(Kind, Request, WatchWait), {},
+              IsWatch ? WatchWait + WatchMargin : ListTime,
+              [this, IsWatch](const store_answer &Answer) {
+                take(Answer, IsWatch);
+              });
+}
+
+void kind_follower::stepAfter(duration Delay) {
+  // Never straight on: the caller is still at the end of its last call.
+  NextStep = Node.Loop.after(Delay, [this] {
+    NextStep = 0;
+    step();
+  });
+}
+
+void kind_follower::take(const store_answer &Answer, bool IsWatch) {
+  if (Answer.Status == 410)
+    return retry(store_failure::HistoryGone);
+  if (Answer.Status == 429 || Answer.Status == 503)
+    return retry(store_failure::Refused);
+  if (Answer.Status == 0)
+    return retry(store_failure::Silent);
+  if (Answer.Status != 200)
+    return retry(store_failure::Garbled);
+  const bool IsSound =
+      IsWatch ? takeBatchFrom(Answer.Body) : takePageFrom(Answer.Body);
+  if (!IsSound)
+    return retry(store_failure::Garbled);
+  noteAnswered();
+  stepAfter(Wait);
+}
+
+bool kind_follower::takePageFrom(std::string_view Body) {
+  auto Page = platform::decodePage(Body);
+  if (!Page)
+    return false;
+  Wait = duration::zero();
+  auto *All = takePage(Watch, std::move(*Page));
+  if (!All)
+    return true;
+  kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/true, {}};
+  for (stored_object &Object : *All)
+    Changes.Changes.push_back(
+        {std::move(Object.Name), false, std::move(Object.Text)});
+  All->clear();
+  Beliefs.take(std::move(Changes));
+  return true;
+}
+
+bool kind_follower::takeBatchFrom(std::string_view Body) {
+  auto Batch = platform::decodeBatch(Body);
+  if (!Batch)
+    return false;
+  Wait = takeBatch(Watch, *Batch);
+  kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/false, {}};
+  for (stored_change &Change : Batch->Changes)
+    Changes.Changes.push_back(
+        {std::move(Change.Object.Name), Change.IsDeleted,
+         Change.IsDeleted ? std::string() : std::move(Change.Object.Text)});
+  Beliefs.take(std::move(Changes));
+  return true;
+}
+
+void kind_follower::noteAnswered() {
+  if (IsAway)
+    Node.Log.write(log_kind::Belief, "store_regained",
+                   {{"kind", platform::encodeKind(Kind)}}, Node.Loop.now());
+  IsAway = false;
+}
+
+void kind_follower::retry(store_failure Failure) {
+  const duration Delay = takeFailure(Watch, Failure);
+  if (Failure != store_failure::HistoryGone) {
+    Beliefs.noteTrouble();
+    if (!IsAway)
+      Node.Log.write(log_kind::Belief, "store_lost",
+                     {{"kind", platform::encodeKind(Kind)},
+                      {"failure", static_cast<std::int64_t>(Failure)}},
+                     Node.Loop.now());
+    IsAway = true;
+  }
+  stepAfter(Delay);
+}
+
+} // namespace amaranthhoist
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -48,7 +48,10 @@
                std::string SettingsFile)
       : SettingsFile(std::move(SettingsFile)), Node(std::move(Settings), Wire),
         Pool(Node), Callers(Node, Pool), Store(Node),
-        Peers(Node, [this] { Store.refreshInstances(); }),
+        Peers(Node),
+        PeerServer(Node.Loop, [this](auto Path, auto Query) {
+          return answerPeer(Path, Query);
+        }),
         Lookups(Node.Loop, [this](auto Path, auto Query) {
           return lookUp(Path, Query);
         }),
@@ -73,6 +76,7 @@
     TRY(Lookups.listen(TRY(parseEndpoint(Settings.Listen.Lookups))));
     TRY(Readiness.listen(TRY(parseEndpoint(Settings.Listen.Readiness))));
     TRY(Peers.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
+    TRY(PeerServer.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
     if (!Settings.Listen.Metrics.empty())
       TRY(MetricsServer.listen(TRY(parseEndpoint(Settings.Listen.Metrics))));
     TRY(watchSignals());
@@ -113,6 +117,17 @@
     return {Node.isReady() ? 200 : 503, "application/json", "{}"};
   }
 
+  small_answer answerPeer(std::string_view Path, std::string_view Query) const {
+    if (Path != "/v1/changes")
+      return {404, "application/json", "{}"};
+    const auto Incarnation =
+        parseNumber<std::uint64_t>(queryValue(Query, "incarnation"));
+    const auto Sequence =
+        parseNumber<std::uint64_t>(queryValue(Query, "sequence"));
+    return {200, "application/octet-stream",
+            Store.answerPeer(Incarnation.value_or(0), Sequence.value_or(0))};
+  }
+
   result<bool> watchSignals() {
     int Ends[2] = {-1, -1};
     if (pipe2(Ends, O_NONBLOCK | O_CLOEXEC) != 0 ||
@@ -189,6 +204,7 @@
   caller_server Callers;
   store_sync Store;
   peer_link Peers;
+  small_server PeerServer;
   small_server Lookups;
   small_server Readiness;
   small_server MetricsServer;
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -13,8 +13,7 @@
 /// Larger than any datagram that is sent.
 static constexpr std::size_t MaxDatagram = 8'192;
 
-peer_link::peer_link(node &Node, std::function<void()> OnStranger)
-    : Node(Node), OnStranger(std::move(OnStranger)) {
+peer_link::peer_link(node &Node) : Node(Node) {
   Node.Fleet.Membership.Policy.ProbePeriod = std::chrono::milliseconds(500);
   Node.Fleet.Membership.Random.seed(stableHash(Node.Settings.Instance));
   setOwnMembers(Node.Fleet.Membership, {Node.Settings.Instance});
@@ -74,9 +73,6 @@
   auto Datagram = decodeDatagram(Bytes);
   if (!Datagram || HasLeft)
     return;
-  const bool IsKnown = Node.Fleet.Members.contains(Datagram->Sender);
-  if (!IsKnown && Datagram->Sender != Node.Settings.Instance)
-    OnStranger();
   const auto Answers =
       handleMembershipMessage(Node.Fleet.Membership, Datagram->Sender,
                               Datagram->Message, Node.Loop.now());
--- a/Services/Node/peer_link.h
+++ b/Services/Node/peer_link.h
@@ -6,15 +6,13 @@
 #include "PeerMessages/peer_messages.h"
 #include "node.h"
 
-#include <functional>
 #include <string>
 
 namespace amaranthhoist {
 
 class peer_link : private io_handler {
 public:
-  /// \p OnStranger is called when an unknown node speaks.
-  peer_link(node &Node, std::function<void()> OnStranger);
+  explicit peer_link(node &Node);
   ~peer_link() override;
 
   result<bool> listen(const endpoint &Endpoint);
@@ -30,7 +28,6 @@
   void reportChanges();
 
   node &Node;
-  std::function<void()> OnStranger;
   int Descriptor = -1;
   bool HasLeft = false;
   std::set<std::string> ReportedDown;
--- a/Services/Node/store_caller.cpp
+++ b/Services/Node/store_caller.cpp
@@ -10,7 +10,8 @@
 /// be known within 2.5 s.
 static constexpr duration StoreSilence = std::chrono::milliseconds(1'000);
 
-store_caller::store_caller(node &Node) : Node(Node) {}
+store_caller::store_caller(node &Node, std::string Server)
+    : Node(Node), Server(std::move(Server)) {}
 
 store_caller::~store_caller() { Node.Loop.cancel(Timer); }
 
@@ -26,6 +27,14 @@
   Node.Retired.push_back(std::move(Retired));
 }
 
+void store_caller::setServer(const std::string &NewServer) {
+  if (Server == NewServer)
+    return;
+  abandon();
+  dropConnection();
+  Server = NewServer;
+}
+
 void store_caller::call(std::string_view Method, std::string_view Path,
                         std::string_view CallBody, duration Time,
                         std::function<void(store_answer)> WhenDone) {
@@ -40,7 +49,7 @@
   if (Connection && !Connection->isOpen())
     dropConnection();
   if (!Connection) {
-    auto Endpoint = parseEndpoint(Node.Settings.Store);
+    auto Endpoint = parseEndpoint(Server);
     Connection = std::make_unique<client_connection>(Node.Loop);
     if (!Endpoint || !Connection->connect(*Endpoint, StoreSilence)) {
       // The timer ends the call: calling back at once would recurse.
@@ -50,7 +59,7 @@
   }
   std::string Text;
   append(Text, Method, " ", Path, " HTTP/1.1\r\nHost: ",
-                  Node.Settings.Store, "\r\n");
+         Server, "\r\n");
   if (!CallBody.empty())
     append(Text, "Content-Type: application/json\r\nContent-Length: ",
                     CallBody.size(), "\r\n");
--- a/Services/Node/store_caller.h
+++ b/Services/Node/store_caller.h
@@ -1,5 +1,6 @@
-/// One connection to the platform's store, for one call after another. Every
-/// call ends: with an answer, or with a failure after its time.
+/// One connection to the platform's store, or to an instance that hands on its
+/// objects, for one call after another. Every call ends: with an answer, or
+/// with a failure after its time.
 #pragma once
 
 #include "HttpConnection/client_connection.h"
@@ -20,9 +21,12 @@
 
 class store_caller : private call_owner {
 public:
-  explicit store_caller(node &Node);
+  store_caller(node &Node, std::string Server);
   ~store_caller() override;
 
+  /// Calls \p Server, `ip:port`, from now on.
+  void setServer(const std::string &NewServer);
+
   /// Makes a call; \p Done gets its answer. One at a time.
   void call(std::string_view Method, std::string_view Path,
             std::string_view Body, duration Time,
@@ -32,6 +36,8 @@
   /// none.
   bool abandon();
 
+  [[nodiscard]] bool isBusy() const { return static_cast<bool>(Done); }
+
 private:
   bool onHead(const message_head &Head) override;
   void onBody(std::string &Body) override;
@@ -41,6 +47,7 @@
   void dropConnection();
 
   node &Node;
+  std::string Server;
   std::unique_ptr<client_connection> Connection;
   std::function<void(store_answer)> Done;
   timer_id Timer = 0;
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -1,12 +1,17 @@
-/// Keeps the node's beliefs in step with the platform's store: configuration,
-/// backend servers, evacuated failure domains, and the fleet's own instances.
+/// Decides from whom the node learns the store's objects: two instances of each
+/// region ask the store itself, the others ask them, and each falls back on the
+/// other way, or on any instance, when its own gives nothing fresh. Also keeps
+/// this node's own object in the store.
 #pragma once
 
-#include "codec.h"
+#include "beliefs.h"
 #include "kind_follower.h"
 #include "node.h"
+#include "relay_link.h"
 #include "store_caller.h"
 
+#include <array>
+
 namespace amaranthhoist {
 
 class store_sync {
@@ -14,37 +19,37 @@
   explicit store_sync(node &Node);
 
   void start();
-  /// Reads the list of instances soon, because an unknown one has spoken.
-  void refreshInstances();
+  /// The body for an instance that asks what changed.
+  std::string answerPeer(std::uint64_t Incarnation,
+                         std::uint64_t Sequence) const {
+    return Relay.answer(Incarnation, Sequence);
+  }
 
 private:
-  void takeConfigurations(std::vector<stored<configuration>> &All);
-  void takeConfiguration(const configuration &Configuration);
-  void takeTargets(std::vector<stored<target_entry>> &All);
-  void takeTarget(stored_change<target_entry> &Change);
-  void takeEvacuations(std::vector<stored<platform::evacuation>> &All);
-  void setDomainEvacuated(const std::string &Domain, bool IsEvacuated);
-  bool listIsSure() const;
-
+  void decide();
+  void setDirect(bool IsWanted);
+  /// How long ago the state was fresh at the store, at best.
+  duration age() const;
   void probe();
   void takeProbe(bool IsAnswered);
-  void listInstances();
-  void takeInstances(const store_answer &Answer);
-  void registerNode();
-  void writeOwnObject(bool Create);
+  void registerNode(bool Create);
+  void removeDead();
 
   node &Node;
-  kind_follower<configuration> Configurations;
-  kind_follower<target_entry> Targets;
-  kind_follower<platform::evacuation> Evacuations;
+  beliefs Beliefs;
+  std::array<kind_follower, ObjectKinds> Followers;
+  relay_link Relay;
   store_caller Writer;
   store_caller Prober;
-  store_caller Lister;
+  store_caller Cleaner;
+  bool IsDirect = false;
   bool IsRegistered = false;
-  bool IsListing = false;
   /// Whether the last probe of the store went unanswered.
   bool IsInDoubt = false;
-  instant NextListing{};
+  instant Started{};
+  instant AnsweredAt{};
+  instant DirectUntil{};
+  std::map<std::string, instant> DownSince;
 };
 
 } // namespace amaranthhoist
