--- a/Services/Node/beliefs.h
+++ b/Services/Node/beliefs.h
@@ -17,9 +17,12 @@
   /// Takes in changes; older ones than are known are left out.
   void take(kind_changes Changes);
 
-  /// Notes whether the store, or who speaks for it, can be believed to list
-  /// all that lives. After trouble it can't for a while.
+  /// Notes that the store may have been away: for a while its list may miss
+  /// servers that live.
   void noteTrouble();
+  /// Notes that whoever was in touch with the store all the while says that it
+  /// wasn't away; the trouble was only this node's own way there.
+  void clearTrouble() { HadTrouble = false; }
   [[nodiscard]] bool listIsSure() const;
 
   [[nodiscard]] const object_cache &cache() const { return Cache; }
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -117,7 +117,6 @@
 void kind_follower::retry(store_failure Failure) {
   const duration Delay = takeFailure(Watch, Failure);
   if (Failure != store_failure::HistoryGone) {
-    Beliefs.noteTrouble();
     if (!IsAway)
       Node.Log.write(log_kind::Belief, "store_lost",
                      {{"kind", platform::encodeKind(Kind)},
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -89,7 +89,9 @@
     nextSource();
     return;
   }
-  if (!Changes->ListIsSure)
+  if (Changes->ListIsSure)
+    Beliefs.clearTrouble();
+  else
     Beliefs.noteTrouble();
   Incarnation = Changes->Incarnation;
   Sequence = Changes->Sequence;
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -103,7 +103,10 @@
   if (IsAnswered != IsInDoubt)
     return;
   IsInDoubt = !IsAnswered;
-  Beliefs.noteTrouble();
+  // Peers that stayed in touch have told whether the store was away.
+  const bool PeersKnow = Node.Loop.now() - Relay.freshAt() <= OldState;
+  if (IsInDoubt || !PeersKnow)
+    Beliefs.noteTrouble();
   Node.Log.write(log_kind::Belief, IsInDoubt ? "store_silent" : "store_answers",
                  {}, Node.Loop.now());
   if (IsInDoubt)
