--- a/Libraries/ObjectCache/object_cache.cpp
+++ b/Libraries/ObjectCache/object_cache.cpp
@@ -7,39 +7,22 @@
 /// the whole list.
 static constexpr std::size_t MostRemoved = 2'000;
 
-static void remove(object_cache &Cache, object_cache::kind_state &Kind,
-                   object_cache::entry &Entry) {
-  if (!Entry.IsDeleted)
-    ++Kind.Removed;
-  Entry.IsDeleted = true;
-  Entry.Text.clear();
-  Entry.Stamp = ++Cache.Sequence;
-}
-
-static void forgetRemoved(object_cache &Cache,
-                          object_cache::kind_state &Kind) {
+static void forgetRemoved(object_cache::kind_state &Kind) {
   if (Kind.Removed <= MostRemoved)
     return;
   absl::erase_if(Kind.Entries,
                  [](const auto &Entry) { return Entry.second.IsDeleted; });
   Kind.Removed = 0;
-  Kind.ForgottenUpTo = Cache.Sequence;
+  Kind.ForgottenUpTo = Kind.AtRevision;
 }
 
-static void put(object_cache &Cache, object_cache::kind_state &Kind,
-                const object_change &Change) {
+static void put(object_cache::kind_state &Kind, const object_change &Change) {
   object_cache::entry &Entry = Kind.Entries[Change.Name];
-  if (Change.IsDeleted) {
-    remove(Cache, Kind, Entry);
-    return;
-  }
-  if (Entry.IsDeleted)
+  if (Change.IsDeleted && !Entry.IsDeleted)
+    ++Kind.Removed;
+  if (!Change.IsDeleted && Entry.IsDeleted)
     --Kind.Removed;
-  if (Entry.Text == Change.Text && !Entry.IsDeleted)
-    return;
-  Entry.IsDeleted = false;
-  Entry.Text = Change.Text;
-  Entry.Stamp = ++Cache.Sequence;
+  Entry = {Change.Text, Change.Revision, Change.IsDeleted};
 }
 
 /// Adds the removal of everything that a full list doesn't have.
@@ -50,7 +33,7 @@
     Present.insert(Change.Name);
   for (const auto &[Name, Entry] : Kind.Entries)
     if (!Entry.IsDeleted && !Present.contains(Name))
-      Changes.Changes.push_back({Name, true, {}});
+      Changes.Changes.push_back({Name, true, Changes.AtRevision, {}});
 }
 
 bool takeChanges(object_cache &Cache, kind_changes &Changes) {
@@ -62,14 +45,24 @@
     return false;
   if (Changes.IsFull)
     addRemovals(Kind, Changes);
-  for (const object_change &Change : Changes.Changes)
-    put(Cache, Kind, Change);
+  for (object_change &Change : Changes.Changes) {
+    if (Change.IsDeleted)
+      Change.Revision = Changes.AtRevision;
+    put(Kind, Change);
+  }
   Kind.AtRevision = Changes.AtRevision;
   Kind.HasState = true;
-  forgetRemoved(Cache, Kind);
+  forgetRemoved(Kind);
   return true;
 }
 
+known_revisions knownRevisions(const object_cache &Cache) {
+  known_revisions Known{};
+  for (std::size_t Index = 0; Index < ObjectKinds; ++Index)
+    Known[Index] = Cache.Kinds[Index].AtRevision;
+  return Known;
+}
+
 static kind_changes changesOf(const object_cache::kind_state &Kind,
                               object_kind Name, std::uint64_t Since) {
   kind_changes Changes;
@@ -78,25 +71,22 @@
   Changes.IsFull = Since == 0 || Since < Kind.ForgottenUpTo;
   for (const auto &[ObjectName, Entry] : Kind.Entries) {
     const bool IsWanted =
-        Changes.IsFull ? !Entry.IsDeleted : Entry.Stamp > Since;
+        Changes.IsFull ? !Entry.IsDeleted : Entry.Revision > Since;
     if (IsWanted)
-      Changes.Changes.push_back({ObjectName, Entry.IsDeleted, Entry.Text});
+      Changes.Changes.push_back(
+          {ObjectName, Entry.IsDeleted, Entry.Revision, Entry.Text});
   }
   return Changes;
 }
 
 cache_changes changesSince(const object_cache &Cache,
-                           std::uint64_t Incarnation, std::uint64_t Sequence) {
+                           const known_revisions &Known) {
   cache_changes Answer;
-  Answer.Incarnation = Cache.Incarnation;
-  Answer.Sequence = Cache.Sequence;
-  const std::uint64_t Since =
-      Incarnation == Cache.Incarnation ? Sequence : 0;
   for (std::size_t Index = 0; Index < ObjectKinds; ++Index) {
     const auto &Kind = Cache.Kinds[Index];
-    if (Kind.HasState)
+    if (Kind.HasState && Kind.AtRevision > Known[Index])
       Answer.Kinds.push_back(
-          changesOf(Kind, static_cast<object_kind>(Index), Since));
+          changesOf(Kind, static_cast<object_kind>(Index), Known[Index]));
   }
   return Answer;
 }
--- a/Libraries/ObjectCache/object_cache.h
+++ b/Libraries/ObjectCache/object_cache.h
@@ -1,6 +1,7 @@
 /// The store's objects as this instance knows them, as text, so that it can
 /// hand them on to instances that don't ask the store themselves. What changed
-/// since a moment is found by a sequence number of this process's own. Sans-I/O.
+/// is found by the store's own revisions, so that an instance may ask one peer
+/// now and another one next. Sans-I/O.
 #pragma once
 
 #include "Core/core.h"
@@ -28,6 +29,9 @@
 struct object_change {
   std::string Name;
   bool IsDeleted = false;
+  /// Of its last change at the store. Of a removed one, a revision that its
+  /// removal doesn't lie behind.
+  std::uint64_t Revision = 0;
   /// The object as the store wrote it; empty when removed.
   std::string Text;
 };
@@ -44,9 +48,6 @@
 
 /// What one instance tells another.
 struct cache_changes {
-  /// Of the telling process: sequence numbers of another mean nothing.
-  std::uint64_t Incarnation = 0;
-  std::uint64_t Sequence = 0;
   /// Time since the teller, or whoever told it, heard from the store.
   duration Age{};
   /// Whether servers missing from the list are gone, as far as it knows.
@@ -57,21 +58,18 @@
 struct object_cache {
   struct entry {
     std::string Text;
-    /// Sequence number of its last change.
-    std::uint64_t Stamp = 0;
+    std::uint64_t Revision = 0;
     bool IsDeleted = false;
   };
   struct kind_state {
     text_map<entry> Entries;
     std::uint64_t AtRevision = 0;
-    /// Removed objects whose trace was dropped had stamps up to this.
+    /// Removed objects whose trace was dropped had revisions up to this.
     std::uint64_t ForgottenUpTo = 0;
     std::size_t Removed = 0;
     /// Whether it was whole once.
     bool HasState = false;
   };
-  std::uint64_t Incarnation = 0;
-  std::uint64_t Sequence = 0;
   std::array<kind_state, ObjectKinds> Kinds;
 };
 
@@ -80,8 +78,14 @@
 /// removals that a full list implies.
 bool takeChanges(object_cache &Cache, kind_changes &Changes);
 
-/// What an instance needs that has seen \p Sequence of \p Incarnation.
+/// Revisions of the store that a state shows, by kind; 0: none yet.
+using known_revisions = std::array<std::uint64_t, ObjectKinds>;
+
+known_revisions knownRevisions(const object_cache &Cache);
+
+/// What an instance lacks that knows \p Known. Kinds in which it lacks nothing
+/// are left out.
 cache_changes changesSince(const object_cache &Cache,
-                           std::uint64_t Incarnation, std::uint64_t Sequence);
+                           const known_revisions &Known);
 
 } // namespace amaranthhoist
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -22,6 +22,7 @@
   name @0 :Text;
   isDeleted @1 :Bool;
   text @2 :Text;
+  revision @3 :UInt64;
 }
 
 struct KindChanges {
@@ -32,9 +33,7 @@
 }
 
 struct CacheChanges {
-  incarnation @0 :UInt64;
-  sequence @1 :UInt64;
-  ageUs @2 :Int64;
-  kinds @3 :List(KindChanges);
-  listIsSure @4 :Bool;
+  ageUs @0 :Int64;
+  kinds @1 :List(KindChanges);
+  listIsSure @2 :Bool;
 }
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -66,7 +66,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bfc9645bf48c0080, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bfc9645bf48c0080, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -96,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -337,6 +337,8 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -382,6 +384,9 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -521,10 +526,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getSequence() const;
-
   inline  ::int64_t getAgeUs() const;
 
   inline bool hasKinds() const;
@@ -560,12 +561,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
   inline  ::int64_t getAgeUs();
   inline void setAgeUs( ::int64_t value);
 
@@ -901,6 +896,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ObjectChange::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ObjectChange::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ObjectChange::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t KindChanges::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -977,46 +986,18 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CacheChanges::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t CacheChanges::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void CacheChanges::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t CacheChanges::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t CacheChanges::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void CacheChanges::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::int64_t CacheChanges::Reader::getAgeUs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t CacheChanges::Builder::getAgeUs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void CacheChanges::Builder::setAgeUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CacheChanges::Reader::hasKinds() const {
@@ -1055,16 +1036,16 @@
 
 inline bool CacheChanges::Reader::getListIsSure() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool CacheChanges::Builder::getListIsSure() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void CacheChanges::Builder::setListIsSure(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -60,8 +60,6 @@
 
 static std::optional<cache_changes> read(datagram::CacheChanges::Reader Root) {
   cache_changes Answer;
-  Answer.Incarnation = Root.getIncarnation();
-  Answer.Sequence = Root.getSequence();
   Answer.Age = duration(Root.getAgeUs());
   Answer.ListIsSure = Root.getListIsSure();
   for (const auto Kind : Root.getKinds()) {
@@ -74,6 +72,7 @@
     for (const auto Change : Kind.getChanges())
       Changes.Changes.push_back({Change.getName().cStr(),
                                  Change.getIsDeleted(),
+                                 Change.getRevision(),
                                  Change.getText().cStr()});
     Answer.Kinds.push_back(std::move(Changes));
   }
@@ -111,8 +110,6 @@
 std::string encodeChanges(const cache_changes &Changes) {
   capnp::MallocMessageBuilder Builder;
   auto Root = Builder.initRoot<datagram::CacheChanges>();
-  Root.setIncarnation(Changes.Incarnation);
-  Root.setSequence(Changes.Sequence);
   Root.setAgeUs(Changes.Age.count());
   Root.setListIsSure(Changes.ListIsSure);
   auto Kinds = Root.initKinds(static_cast<unsigned>(Changes.Kinds.size()));
@@ -126,6 +123,7 @@
     for (unsigned At = 0; At < List.size(); ++At) {
       List[At].setName(Kind.Changes[At].Name);
       List[At].setIsDeleted(Kind.Changes[At].IsDeleted);
+      List[At].setRevision(Kind.Changes[At].Revision);
       List[At].setText(Kind.Changes[At].Text);
     }
   }
--- a/Services/Node/beliefs.cpp
+++ b/Services/Node/beliefs.cpp
@@ -13,10 +13,6 @@
 static constexpr duration HousekeepingPeriod = std::chrono::milliseconds(150);
 
 beliefs::beliefs(node &Node) : Node(Node) {
-  Cache.Incarnation =
-      stableHash(Node.Settings.Instance,
-                 static_cast<std::uint64_t>(
-                     Node.Loop.now().time_since_epoch().count()));
   Node.Loop.every(HousekeepingPeriod, [this] { keepHouse(); });
 }
 
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -87,7 +87,8 @@
   kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/true, {}};
   for (stored_object &Object : *All)
     Changes.Changes.push_back(
-        {std::move(Object.Name), false, std::move(Object.Text)});
+        {std::move(Object.Name), false, Object.Revision,
+         std::move(Object.Text)});
   All->clear();
   Beliefs.take(std::move(Changes));
   return true;
@@ -102,6 +103,7 @@
   for (stored_change &Change : Batch->Changes)
     Changes.Changes.push_back(
         {std::move(Change.Object.Name), Change.IsDeleted,
+         Change.Object.Revision,
          Change.IsDeleted ? std::string() : std::move(Change.Object.Text)});
   Beliefs.take(std::move(Changes));
   return true;
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -120,12 +120,7 @@
   small_answer answerPeer(std::string_view Path, std::string_view Query) const {
     if (Path != "/v1/changes")
       return {404, "application/json", "{}"};
-    const auto Incarnation =
-        parseNumber<std::uint64_t>(queryValue(Query, "incarnation"));
-    const auto Sequence =
-        parseNumber<std::uint64_t>(queryValue(Query, "sequence"));
-    return {200, "application/octet-stream",
-            Store.answerPeer(Incarnation.value_or(0), Sequence.value_or(0))};
+    return {200, "application/octet-stream", Store.answerPeer(Query)};
   }
 
   result<bool> watchSignals() {
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -1,6 +1,7 @@
 #include "relay_link.h"
 
 #include "Fleet/relays.h"
+#include "HttpConnection/small_server.h"
 #include "PeerMessages/peer_messages.h"
 
 namespace amaranthhoist {
@@ -8,9 +9,13 @@
 /// Time between two polls. A change passes the watcher's pause and one poll on
 /// its way, 0.7 s together, well under the 2.5 s in which it must be in force.
 static constexpr duration PollPeriod = std::chrono::milliseconds(400);
-/// A source answers within a round trip between the farthest regions, and some
-/// time for its own work.
-static constexpr duration PollTime = std::chrono::milliseconds(350);
+/// A source answers within a round trip between the farthest regions, and the
+/// time that a small machine needs to make a whole list.
+static constexpr duration PollTime = std::chrono::milliseconds(700);
+/// Tries with the watchers before others are asked.
+static constexpr std::size_t TriesWithWatchers = 4;
+/// After so many answers from others the watchers are tried again.
+static constexpr int AnswersBeforeReturn = 10;
 /// State older than this at its source is no use: another source is asked.
 static constexpr duration OldState = std::chrono::milliseconds(1'500);
 
@@ -34,50 +39,55 @@
   Caller.abandon();
 }
 
-std::string relay_link::answer(std::uint64_t ForIncarnation,
-                               std::uint64_t Since) const {
-  cache_changes Changes = changesSince(Beliefs.cache(), ForIncarnation, Since);
+std::string relay_link::answer(std::string_view Query) const {
+  known_revisions Known{};
+  const auto Texts = split(queryValue(Query, "known"), ',');
+  for (std::size_t Index = 0; Index < Known.size() && Index < Texts.size();
+       ++Index)
+    Known[Index] = parseNumber<std::uint64_t>(Texts[Index]).value_or(0);
+  cache_changes Changes = changesSince(Beliefs.cache(), Known);
   Changes.Age = OwnAge();
   Changes.ListIsSure = Beliefs.listIsSure();
   return encodeChanges(Changes);
 }
 
-/// The region's watchers first, then everybody, one after the other.
+/// The region's watchers by turns, then everybody, one after the other.
 void relay_link::chooseSource() {
   auto Sources = watchers(Node.Fleet);
   std::erase(Sources, &Node.Fleet.Own);
-  const auto Further = furtherSources(Node.Fleet);
-  Sources.insert(Sources.end(), Further.begin(), Further.end());
-  if (Sources.empty()) {
-    SourceName.clear();
-    return;
+  std::size_t At = Misses;
+  if (Sources.empty() || Misses >= TriesWithWatchers) {
+    At = Misses >= TriesWithWatchers ? Misses - TriesWithWatchers : Misses;
+    Sources = furtherSources(Node.Fleet);
   }
-  const fleet_member &Source = *Sources[Misses % Sources.size()];
-  if (Source.Name == SourceName)
+  const std::string Before = SourceName;
+  SourceName = Sources.empty() ? "" : Sources[At % Sources.size()]->Name;
+  if (SourceName.empty() || SourceName == Before)
     return;
-  SourceName = Source.Name;
-  Incarnation = 0;
-  Sequence = 0;
-  Caller.setServer(Source.Peer);
+  Caller.setServer(Sources[At % Sources.size()]->Peer);
   Node.Log.write(log_kind::Belief, "relay_source", {{"peer", SourceName}},
                  Node.Loop.now());
 }
 
-void relay_link::nextSource() { ++Misses; }
+static std::string encodeKnown(const object_cache &Cache) {
+  std::string Text = "/v1/changes?known=";
+  for (std::uint64_t Revision : knownRevisions(Cache))
+    append(Text, Revision, ",");
+  return Text;
+}
 
 void relay_link::poll() {
-  chooseSource();
   NextPoll = Node.Loop.after(PollPeriod, [this] {
     NextPoll = 0;
-    Caller.abandon();
     poll();
   });
+  // A slow answer may take longer than a period.
+  if (Caller.isBusy())
+    return;
+  chooseSource();
   if (SourceName.empty())
     return;
-  Caller.call("GET",
-              cat("/v1/changes?incarnation=", Incarnation,
-                  "&sequence=", Sequence),
-              {}, PollTime,
+  Caller.call("GET", encodeKnown(Beliefs.cache()), {}, PollTime,
               [this](const store_answer &Answer) { take(Answer); });
 }
 
@@ -86,15 +96,17 @@
                      ? decodeChanges(Answer.Body)
                      : std::optional<cache_changes>();
   if (!Changes || Changes->Age > OldState) {
-    nextSource();
+    ++Misses;
     return;
   }
+  if (Misses < TriesWithWatchers || ++FurtherAnswers >= AnswersBeforeReturn) {
+    Misses = 0;
+    FurtherAnswers = 0;
+  }
   if (Changes->ListIsSure)
     Beliefs.clearTrouble();
   else
     Beliefs.noteTrouble();
-  Incarnation = Changes->Incarnation;
-  Sequence = Changes->Sequence;
   FreshAt = Node.Loop.now() - Changes->Age;
   for (kind_changes &Kind : Changes->Kinds)
     Beliefs.take(std::move(Kind));
--- a/Services/Node/relay_link.h
+++ b/Services/Node/relay_link.h
@@ -23,14 +23,13 @@
   /// When the state that was last taken over was fresh at the store.
   [[nodiscard]] instant freshAt() const { return FreshAt; }
 
-  /// The body for an instance that has seen \p Sequence of \p Incarnation.
-  std::string answer(std::uint64_t Incarnation, std::uint64_t Sequence) const;
+  /// The body for an instance that asks with \p Query.
+  std::string answer(std::string_view Query) const;
 
 private:
   void poll();
   void take(const store_answer &Answer);
   void chooseSource();
-  void nextSource();
 
   node &Node;
   beliefs &Beliefs;
@@ -39,10 +38,10 @@
   timer_id NextPoll = 0;
   bool IsRunning = false;
   std::string SourceName;
-  /// How many sources in a row were no use.
+  /// Sources in a row that were no use.
   std::size_t Misses = 0;
-  std::uint64_t Incarnation = 0;
-  std::uint64_t Sequence = 0;
+  /// Answers in a row from a source that isn't a watcher.
+  int FurtherAnswers = 0;
   instant FreshAt{};
 };
 
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -20,9 +20,8 @@
 
   void start();
   /// The body for an instance that asks what changed.
-  std::string answerPeer(std::uint64_t Incarnation,
-                         std::uint64_t Sequence) const {
-    return Relay.answer(Incarnation, Sequence);
+  std::string answerPeer(std::string_view Query) const {
+    return Relay.answer(Query);
   }
 
 private:
