--- a/Libraries/Fleet/fleet.h
+++ b/Libraries/Fleet/fleet.h
@@ -22,8 +22,8 @@
   std::string Ingress;
   /// `ip:port` for datagrams between instances.
   std::string Peer;
-  /// Differs between starts of the same instance.
-  std::string Incarnation;
+  /// `ip:port` for instances that ask for the store's objects.
+  std::string Control;
   /// Share of a core, to weigh instances by.
   double Processor = 1;
   bool operator==(const fleet_member &) const = default;
@@ -35,6 +35,7 @@
   fleet_member Own;
   /// Whether this instance takes callers.
   bool OwnIsReady = false;
+  bool OwnIsLeaving = false;
   membership Membership;
 };
 
--- a/Libraries/Fleet/relays.cpp
+++ b/Libraries/Fleet/relays.cpp
@@ -6,7 +6,7 @@
 
 static std::vector<const fleet_member *> upInRegion(const fleet &Fleet) {
   std::vector<const fleet_member *> Members;
-  if (Fleet.OwnIsReady)
+  if (!Fleet.OwnIsLeaving)
     Members.push_back(&Fleet.Own);
   for (const auto &[Name, Member] : Fleet.Members)
     if (Member.Region == Fleet.Own.Region && isUp(Fleet.Membership, Name))
--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -14,6 +14,7 @@
   Reader.readAddress("readiness", Listen.Readiness, true);
   Reader.readAddress("lookups", Listen.Lookups, true);
   Reader.readAddress("peers", Listen.Peers, true);
+  Reader.readAddress("control", Listen.Control, true);
   Reader.readAddress("metrics", Listen.Metrics, false);
   Reader.rejectUnknown();
 }
@@ -50,6 +51,7 @@
   Reader.readName("region", Settings.Region);
   Reader.readTextMap("failure_domains", Settings.FailureDomains);
   Reader.readAddress("store", Settings.Store, true);
+  Reader.readNames("seeds", Settings.Seeds, false);
   Reader.readText("log_level", Settings.LogLevel,
                   {"debug", "info", "warn", "error"});
   readAddresses(Reader.section("listen"), Settings.Listen, Check.Faults);
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -21,6 +21,8 @@
   std::string Lookups;
   /// Datagrams between nodes.
   std::string Peers;
+  /// For nodes that ask for the store's objects.
+  std::string Control;
   std::string Metrics;
 };
 
@@ -44,6 +46,9 @@
   node_addresses Listen;
   /// `ip:port` of the platform's store.
   std::string Store;
+  /// Control addresses of some nodes, maybe stale: asked when the store can't
+  /// be reached and no other node is known.
+  std::vector<std::string> Seeds;
   /// Share of one core that this node may use.
   double Processor = 1;
   /// Memory that this node may use, in MB.
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -69,14 +69,13 @@
                       Settings.Region,
                       Settings.Listen.Callers,
                       Settings.Listen.Peers,
-                      cat(getpid(), "-",
-                                   Node.Loop.now().time_since_epoch().count()),
+                      Settings.Listen.Control,
                       Settings.Processor};
     TRY(Callers.listen(TRY(parseEndpoint(Settings.Listen.Callers))));
     TRY(Lookups.listen(TRY(parseEndpoint(Settings.Listen.Lookups))));
     TRY(Readiness.listen(TRY(parseEndpoint(Settings.Listen.Readiness))));
     TRY(Peers.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
-    TRY(PeerServer.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
+    TRY(PeerServer.listen(TRY(parseEndpoint(Settings.Listen.Control))));
     if (!Settings.Listen.Metrics.empty())
       TRY(MetricsServer.listen(TRY(parseEndpoint(Settings.Listen.Metrics))));
     TRY(watchSignals());
@@ -170,6 +169,7 @@
     if (Node.IsLeaving)
       return;
     Node.IsLeaving = true;
+    Node.Fleet.OwnIsLeaving = true;
     LeaveBegan = Node.Loop.now();
     const duration Grace = Node.Settings.Bounds.GracePeriod;
     // What is taken later could be cut off halfway by the end of the process.
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -61,14 +61,28 @@
     Sources = furtherSources(Node.Fleet);
   }
   const std::string Before = SourceName;
-  SourceName = Sources.empty() ? "" : Sources[At % Sources.size()]->Name;
-  if (SourceName.empty() || SourceName == Before)
+  if (Sources.empty()) {
+    chooseSeed();
     return;
-  Caller.setServer(Sources[At % Sources.size()]->Peer);
+  }
+  const fleet_member &Source = *Sources[At % Sources.size()];
+  SourceName = Source.Name;
+  if (SourceName == Before)
+    return;
+  Caller.setServer(Source.Control);
   Node.Log.write(log_kind::Belief, "relay_source", {{"peer", SourceName}},
                  Node.Loop.now());
 }
 
+/// Without a known peer only the settings tell of some.
+void relay_link::chooseSeed() {
+  std::vector<std::string> Seeds = Node.Settings.Seeds;
+  std::erase(Seeds, Node.Settings.Listen.Control);
+  SourceName = Seeds.empty() ? "" : Seeds[Misses % Seeds.size()];
+  if (!SourceName.empty())
+    Caller.setServer(SourceName);
+}
+
 static std::string encodeKnown(const object_cache &Cache) {
   std::string Text = "/v1/changes?known=";
   for (std::uint64_t Revision : knownRevisions(Cache))
--- a/Services/Node/relay_link.h
+++ b/Services/Node/relay_link.h
@@ -30,6 +30,7 @@
   void poll();
   void take(const store_answer &Answer);
   void chooseSource();
+  void chooseSeed();
 
   node &Node;
   beliefs &Beliefs;
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -16,9 +16,10 @@
 static constexpr duration ProbePeriodInDoubt = std::chrono::milliseconds(300);
 /// Longer than the store's answers take while it is slow.
 static constexpr duration ProbeTime = std::chrono::milliseconds(700);
-static constexpr duration DecisionPeriod = std::chrono::milliseconds(200);
-/// After its start a node asks the store itself: it doesn't know the others.
-static constexpr duration DirectAtFirst = std::chrono::seconds(3);
+static constexpr duration DecisionPeriod = std::chrono::milliseconds(150);
+/// Time that a new node gives its peers to tell it everything, before it asks
+/// the store itself.
+static constexpr duration PeersFirst = std::chrono::milliseconds(400);
 /// State older than this makes a node use the other ways as well.
 static constexpr duration OldState = std::chrono::milliseconds(1'200);
 /// A node that fell back on the store goes on with it for this long, so that a
@@ -40,9 +41,7 @@
 
 void store_sync::start() {
   Started = Node.Loop.now();
-  AnsweredAt = Started;
-  setDirect(true);
-  registerNode(/*Create=*/false);
+  listInstances();
   Node.Loop.every(DecisionPeriod, [this] { decide(); });
   Node.Loop.after(ProbePeriod, [this] { probe(); });
 }
@@ -56,13 +55,13 @@
 
 void store_sync::decide() {
   const instant Now = Node.Loop.now();
-  const bool IsNew = Now - Started < DirectAtFirst || !IsRegistered;
-  const bool Watches = isWatcher(Node.Fleet);
-  const bool IsOld = Now - std::max(AnsweredAt, Relay.freshAt()) > OldState;
+  const bool Watches = KnowsInstances && isWatcher(Node.Fleet);
+  const bool IsOld = Now - Started > PeersFirst &&
+                     Now - std::max(AnsweredAt, Relay.freshAt()) > OldState;
   if (!Watches && IsOld)
     DirectUntil = Now + DirectAtLeast;
-  setDirect(IsNew || Watches || Now < DirectUntil);
-  if ((!Watches && !IsNew) || IsInDoubt)
+  setDirect(Watches || Now < DirectUntil);
+  if (!Watches || IsInDoubt)
     Relay.start();
   else
     Relay.stop();
@@ -115,7 +114,44 @@
     Follower.restart();
 }
 
-/// Makes this node known to the others.
+/// Learns who else there is, and whether this node is known to them.
+void store_sync::listInstances() {
+  Writer.call("GET", platform::encodeKindPath(object_kind::Instance), {},
+              WriteTime, [this](const store_answer &Answer) {
+                auto Page = platform::decodePage(Answer.Body);
+                if (Answer.Status != 200 || !Page) {
+                  Node.Loop.after(WriteAgain, [this] { listInstances(); });
+                  return;
+                }
+                takeInstances(*Page);
+              });
+}
+
+void store_sync::takeInstances(const list_page &Page) {
+  KnowsInstances = true;
+  bool IsAbsent = true;
+  bool IsChanged = true;
+  kind_changes Changes{object_kind::Instance, Page.AtRevision, true, {}};
+  for (const stored_object &Object : Page.Items) {
+    Changes.Changes.push_back(
+        {Object.Name, false, Object.Revision, Object.Text});
+    if (Object.Name != Node.Settings.Instance)
+      continue;
+    IsAbsent = false;
+    const auto Known = platform::decodeMember(Object.Text);
+    IsChanged = !Known || *Known != Node.Fleet.Own;
+  }
+  // A further page would be for more instances than one page holds, 500; the
+  // rest then comes by the watch or from peers.
+  Changes.IsFull = !Page.HasMore;
+  Beliefs.take(std::move(Changes));
+  if (IsChanged)
+    Node.Loop.after(duration::zero(),
+                    [this, IsAbsent] { registerNode(IsAbsent); });
+}
+
+/// Makes this node known to the others. An object of an earlier start that is
+/// the same needs no write.
 void store_sync::registerNode(bool Create) {
   const std::string Path =
       Create ? platform::encodeKindPath(object_kind::Instance)
@@ -123,14 +159,15 @@
                                           Node.Settings.Instance, std::nullopt);
   Writer.call(Create ? "POST" : "PUT", Path,
               platform::encodeMember(Node.Fleet.Own), WriteTime,
-              [this](const store_answer &Answer) {
-                if (Answer.Status / 100 == 2) {
-                  IsRegistered = true;
+              [this, Create](const store_answer &Answer) {
+                if (Answer.Status / 100 == 2)
                   return;
-                }
-                const bool IsAbsent = Answer.Status == 404;
-                Node.Loop.after(IsAbsent ? duration::zero() : WriteAgain,
-                                [this, IsAbsent] { registerNode(IsAbsent); });
+                // An earlier try may have been done without an answer.
+                const bool CreateNext =
+                    Answer.Status == 404 || (Create && Answer.Status != 409);
+                Node.Loop.after(WriteAgain, [this, CreateNext] {
+                  registerNode(CreateNext);
+                });
               });
 }
 
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -31,6 +31,8 @@
   duration age() const;
   void probe();
   void takeProbe(bool IsAnswered);
+  void listInstances();
+  void takeInstances(const list_page &Page);
   void registerNode(bool Create);
   void removeDead();
 
@@ -42,7 +44,8 @@
   store_caller Prober;
   store_caller Cleaner;
   bool IsDirect = false;
-  bool IsRegistered = false;
+  /// Whether the list of instances was read once.
+  bool KnowsInstances = false;
   /// Whether the last probe of the store went unanswered.
   bool IsInDoubt = false;
   instant Started{};
