--- a/Libraries/Placement/placement.cpp
+++ b/Libraries/Placement/placement.cpp
@@ -1,6 +1,8 @@
 #include "Placement/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace amaranthhoist {
 
@@ -20,28 +22,74 @@
              HomeRegions.end();
 }
 
-ranking rankTargets(const target_directory &Directory,
-                    std::span<target *const> Targets, std::uint64_t KeyHash,
-                    std::span<const std::string> HomeRegions, instant Now) {
-  ranking Ranking;
+/// The best few servers of one region by plain score.
+struct region_best {
+  std::array<target *, MaxPlaces> Targets{};
   std::array<std::uint64_t, MaxPlaces> Scores{};
-  for (target *Target : Targets) {
-    const std::uint64_t Score = mix(KeyHash, Target->Hash);
-    if (Ranking.Count == MaxPlaces && Score <= Scores[MaxPlaces - 1])
-      continue;
-    if (!isUsable(Directory, *Target, Now) ||
-        !isHome(HomeRegions, Target->Region))
-      continue;
-    std::size_t At = std::min(Ranking.Count, MaxPlaces - 1);
-    for (; At > 0 && Scores[At - 1] < Score; --At) {
-      Scores[At] = Scores[At - 1];
-      Ranking.Targets[At] = Ranking.Targets[At - 1];
+  std::size_t Count = 0;
+};
+
+static void insert(region_best &Best, target *Target, std::uint64_t Score) {
+  std::size_t At = std::min(Best.Count, MaxPlaces - 1);
+  for (; At > 0 && Best.Scores[At - 1] < Score; --At) {
+    Best.Scores[At] = Best.Scores[At - 1];
+    Best.Targets[At] = Best.Targets[At - 1];
+  }
+  Best.Scores[At] = Score;
+  Best.Targets[At] = Target;
+  Best.Count = std::min(Best.Count + 1, MaxPlaces);
+}
+
+/// The score that makes a server first with a chance in proportion to its
+/// weight (weighted rendezvous hashing).
+static double weightedScore(std::uint64_t Score, double Weight) {
+  const double Point = (static_cast<double>(Score >> 11) + 0.5) * 0x1.0p-53;
+  return -Weight / std::log(Point);
+}
+
+/// Merges the regions' best into one ranking. Within a region the weight is the
+/// same for all, so the plain order holds there and only these few need a
+/// logarithm.
+static ranking merge(std::span<const region_best> Regions,
+                     std::span<const double> Weights) {
+  ranking Ranking;
+  std::vector<std::size_t> Next(Regions.size(), 0);
+  while (Ranking.Count < MaxPlaces) {
+    double BestScore = -1;
+    std::size_t Best = Regions.size();
+    for (std::size_t Index = 0; Index < Regions.size(); ++Index) {
+      if (Next[Index] >= Regions[Index].Count)
+        continue;
+      const double Weight = Index < Weights.size() ? Weights[Index] : 1.0;
+      const double Score =
+          weightedScore(Regions[Index].Scores[Next[Index]], Weight);
+      if (Score > BestScore) {
+        BestScore = Score;
+        Best = Index;
+      }
     }
-    Scores[At] = Score;
-    Ranking.Targets[At] = Target;
-    Ranking.Count = std::min(Ranking.Count + 1, MaxPlaces);
+    if (Best == Regions.size())
+      break;
+    Ranking.Targets[Ranking.Count++] = Regions[Best].Targets[Next[Best]++];
   }
   return Ranking;
 }
 
+ranking rankTargets(const target_directory &Directory,
+                    std::span<target *const> Targets,
+                    const rank_request &Request, instant Now) {
+  // One more than the regions, for servers of an unknown one.
+  std::vector<region_best> Regions(Directory.Regions.size() + 1);
+  for (target *Target : Targets) {
+    region_best &Best = Regions[Target->RegionIndex];
+    const std::uint64_t Score = mix(Request.KeyHash, Target->Hash);
+    if (Best.Count == MaxPlaces && Score <= Best.Scores[MaxPlaces - 1])
+      continue;
+    if (isUsable(Directory, *Target, Now) &&
+        isHome(Request.HomeRegions, Target->Region))
+      insert(Best, Target, Score);
+  }
+  return merge(Regions, Request.Weights);
+}
+
 } // namespace amaranthhoist
--- a/Libraries/Placement/placement.h
+++ b/Libraries/Placement/placement.h
@@ -26,10 +26,19 @@
   }
 };
 
-/// Ranks the usable servers among \p Targets for the object \p KeyHash.
-/// \p HomeRegions: others aren't ranked; empty: all are.
+/// What the ranking of an object depends on beside the servers.
+struct rank_request {
+  std::uint64_t KeyHash = 0;
+  /// Servers elsewhere aren't ranked; empty: all are.
+  std::span<const std::string> HomeRegions;
+  /// By region: a server with twice the weight is first for twice as many
+  /// objects. Empty: all alike.
+  std::span<const double> Weights;
+};
+
+/// Ranks the usable servers among \p Targets.
 ranking rankTargets(const target_directory &Directory,
-                    std::span<target *const> Targets, std::uint64_t KeyHash,
-                    std::span<const std::string> HomeRegions, instant Now);
+                    std::span<target *const> Targets,
+                    const rank_request &Request, instant Now);
 
 } // namespace amaranthhoist
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -1,6 +1,7 @@
 #include "Steering/steering.h"
 
 #include "Placement/placement.h"
+#include "Placement/region_weights.h"
 
 #include <algorithm>
 
@@ -9,12 +10,12 @@
 /// Servers of an object that are tried for room before it is refused. With two
 /// a hot object has a second place; with more, it pushes out what is warm
 /// elsewhere and everybody gets slower (measured: docs/PLATFORM-DESIGN.md).
-static constexpr std::size_t PlacesUnderPressure = 2;
-/// Places while there is room to spare: a cold server is then better than a
-/// refusal.
-static constexpr std::size_t PlacesAtEase = 2;
-/// Share of a service's slots that are taken when pressure begins.
-static constexpr double PressureAt = 0.6;
+static constexpr std::size_t PlacesPerObject = 2;
+/// How much of the work stays in the region that asks for it.
+static constexpr double Locality = 0.8;
+/// The weights of regions are made anew this often; they follow the list of
+/// servers, which changes by the second at most.
+static constexpr duration WeightsPeriod = std::chrono::milliseconds(500);
 /// Slots beyond a server's own that each step of urgency may use: the server
 /// queues a few requests, and urgent ones wait there rather than being refused
 /// while less urgent ones are served.
@@ -102,21 +103,6 @@
   return Plan;
 }
 
-/// Share of the usable slots of a service that are probably taken.
-static double pressure(const steering &Steering,
-                       const std::vector<target *> &Targets, instant Now) {
-  double Load = 0;
-  double Slots = 0;
-  for (const target *Target : Targets) {
-    if (!isUsable(Steering.Targets, *Target, Now))
-      continue;
-    Load += std::min(estimatedLoad(*Target, Now),
-                     static_cast<double>(Target->Entry.Slots));
-    Slots += Target->Entry.Slots;
-  }
-  return Slots > 0 ? Load / Slots : 1;
-}
-
 /// How long a request would wait for a slot of \p Target.
 static duration predictedWait(const target &Target, double Urgency,
                               instant Now) {
@@ -156,6 +142,32 @@
          bearsRequest(Target, ownColdRate(Steering, Target), Now);
 }
 
+/// Listed slots by region: what passes in a moment, as a server that is left
+/// out for its failures, must not move the objects of all others.
+static std::vector<double> slotsByRegion(const target_directory &Directory,
+                                         std::span<target *const> Targets) {
+  std::vector<double> Slots(Directory.Regions.size() + 1, 0.0);
+  for (const target *Target : Targets)
+    if (!Target->Entry.IsLeaving)
+      Slots[Target->RegionIndex] += Target->Entry.Slots;
+  Slots.pop_back();
+  return Slots;
+}
+
+static const std::vector<double> &weightsOf(steering &Steering,
+                                            const std::string &Service,
+                                            std::span<target *const> Targets,
+                                            instant Now) {
+  service_weights &Weights = Steering.Weights[Service];
+  if (Weights.ByRegion.empty() || Now - Weights.Made >= WeightsPeriod) {
+    Weights.Made = Now;
+    Weights.ByRegion =
+        regionWeights(slotsByRegion(Steering.Targets, Targets),
+                      Steering.OwnRegion, Locality);
+  }
+  return Weights.ByRegion;
+}
+
 tl::expected<target *, refusal> chooseTarget(steering &Steering,
                                              const request_plan &Plan,
                                              instant Now) {
@@ -164,13 +176,15 @@
   auto Found = Steering.Targets.ByService.find(Plan.Service);
   if (Found == Steering.Targets.ByService.end())
     return tl::unexpected(refusal::NoTarget);
-  const ranking Ranking = rankTargets(Steering.Targets, Found->second,
-                                      Plan.KeyHash, Plan.HomeRegions, Now);
+  const std::vector<target *> &Targets = Found->second;
+  const rank_request Request{
+      Plan.KeyHash, Plan.HomeRegions,
+      weightsOf(Steering, Plan.Service, Targets, Now)};
+  const ranking Ranking =
+      rankTargets(Steering.Targets, Targets, Request, Now);
   if (Ranking.Count == 0)
     return tl::unexpected(refusal::NoTarget);
-  const bool IsPressed =
-      pressure(Steering, Found->second, Now) >= PressureAt;
-  std::size_t Places = IsPressed ? PlacesUnderPressure : PlacesAtEase;
+  std::size_t Places = PlacesPerObject;
   for (target *Target : Ranking.targets()) {
     const bool WasTried = std::find(Plan.Tried.begin(), Plan.Tried.end(),
                                     Target->Entry.Id) != Plan.Tried.end();
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -17,6 +17,12 @@
 
 namespace amaranthhoist {
 
+/// Weights of the regions for one service.
+struct service_weights {
+  std::vector<double> ByRegion;
+  instant Made{};
+};
+
 /// Everything that decisions on requests depend on.
 struct steering {
   /// None until the first configuration has come.
@@ -25,6 +31,10 @@
   repeat_budget Repeats;
   /// Hashes of all instances, this one's first.
   std::vector<std::uint64_t> Instances;
+  /// Index of this instance's region.
+  std::size_t OwnRegion = 0;
+  /// By service.
+  text_map<service_weights> Weights;
   /// The least urgent priority among the routes.
   int LeastUrgent = 0;
 };
--- a/Libraries/Targets/targets.cpp
+++ b/Libraries/Targets/targets.cpp
@@ -42,6 +42,29 @@
   Directory.ById.erase(Found);
 }
 
+void setDomains(target_directory &Directory,
+                const std::map<std::string, std::string> &RegionOfDomain) {
+  Directory.RegionOfDomain.clear();
+  Directory.Regions.clear();
+  for (const auto &[Domain, Region] : RegionOfDomain) {
+    Directory.RegionOfDomain.emplace(Domain, Region);
+    Directory.Regions.push_back(Region);
+  }
+  std::sort(Directory.Regions.begin(), Directory.Regions.end());
+  Directory.Regions.erase(
+      std::unique(Directory.Regions.begin(), Directory.Regions.end()),
+      Directory.Regions.end());
+  for (const auto &[Id, Target] : Directory.ById)
+    Target->RegionIndex = regionIndex(Directory, Target->Region);
+}
+
+std::size_t regionIndex(const target_directory &Directory,
+                        std::string_view Name) {
+  const auto Found = std::find(Directory.Regions.begin(),
+                               Directory.Regions.end(), Name);
+  return static_cast<std::size_t>(Found - Directory.Regions.begin());
+}
+
 void putTarget(target_directory &Directory, const target_entry &Entry,
                instant Now) {
   auto Found = Directory.ById.find(Entry.Id);
@@ -68,6 +91,7 @@
   auto Region = Directory.RegionOfDomain.find(Entry.FailureDomain);
   if (Region != Directory.RegionOfDomain.end())
     Target.Region = Region->second;
+  Target.RegionIndex = regionIndex(Directory, Target.Region);
   if (Entry.ColdFor > duration::zero())
     Target.ColdUntil = std::max(Target.ColdUntil, Now + Entry.ColdFor);
 }
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -7,6 +7,7 @@
 #include "Text/text.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -56,6 +57,8 @@
 struct target {
   target_entry Entry;
   std::string Region;
+  /// Of its region in the directory's Regions.
+  std::size_t RegionIndex = 0;
   /// Of the id; ranks the server for an object.
   std::uint64_t Hash = 0;
   /// Requests of this instance under way there.
@@ -92,6 +95,8 @@
 struct target_directory {
   /// Failure domains by name, with their regions.
   text_map<std::string> RegionOfDomain;
+  /// Names of all regions.
+  std::vector<std::string> Regions;
   text_map<std::unique_ptr<target>> ById;
   text_map<std::vector<target *>> ByService;
   /// Servers there get nothing.
@@ -100,6 +105,14 @@
   std::vector<std::unique_ptr<target>> Departed;
 };
 
+/// Sets the failure domains by name, with their regions.
+void setDomains(target_directory &Directory,
+                const std::map<std::string, std::string> &RegionOfDomain);
+
+/// Index of a region by name; the number of regions if there is none such.
+std::size_t regionIndex(const target_directory &Directory,
+                        std::string_view Name);
+
 /// Takes in one entry of the list.
 void putTarget(target_directory &Directory, const target_entry &Entry,
                instant Now);
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -160,8 +160,9 @@
     Node.Steering.Repeats.Bounds = {Settings->Bounds.RepeatRatio,
                                     Settings->Bounds.RepeatWindow,
                                     Settings->Bounds.RepeatSlack};
-    for (const auto &[Domain, Region] : Settings->FailureDomains)
-      Node.Steering.Targets.RegionOfDomain[Domain] = Region;
+    setDomains(Node.Steering.Targets, Settings->FailureDomains);
+    Node.Steering.OwnRegion =
+        regionIndex(Node.Steering.Targets, Node.Settings.Region);
     Node.Log.write(log_kind::Process, "reloaded", {}, Node.Loop.now());
   }
 
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -15,8 +15,8 @@
   Steering.Repeats.Bounds = {Settings.Bounds.RepeatRatio,
                              Settings.Bounds.RepeatWindow,
                              Settings.Bounds.RepeatSlack};
-  for (const auto &[Domain, Region] : Settings.FailureDomains)
-    Steering.Targets.RegionOfDomain.emplace(Domain, Region);
+  setDomains(Steering.Targets, Settings.FailureDomains);
+  Steering.OwnRegion = regionIndex(Steering.Targets, Settings.Region);
   Steering.Instances = {stableHash(Settings.Instance)};
 }
 
