--- a/Libraries/Fleet/relays.cpp
+++ b/Libraries/Fleet/relays.cpp
@@ -13,6 +13,10 @@
       Members.push_back(&Member);
   std::sort(Members.begin(), Members.end(),
             [](const fleet_member *Left, const fleet_member *Right) {
+              // Watchers hand everything on, which a small machine with its
+              // slow link can't do for a large region.
+              if (Left->Processor != Right->Processor)
+                return Left->Processor > Right->Processor;
               return stableHash(Left->Name) < stableHash(Right->Name);
             });
   return Members;
--- a/Services/Node/beliefs.cpp
+++ b/Services/Node/beliefs.cpp
@@ -31,6 +31,11 @@
   return !HadTrouble || Node.Loop.now() - LastTrouble > UnsureAfterTrouble;
 }
 
+bool beliefs::knowsAll() const {
+  return std::all_of(Cache.Kinds.begin(), Cache.Kinds.end(),
+                     [](const auto &Kind) { return Kind.HasState; });
+}
+
 void beliefs::take(kind_changes Changes) {
   const bool IsFull = Changes.IsFull;
   if (!takeChanges(Cache, Changes))
--- a/Services/Node/beliefs.h
+++ b/Services/Node/beliefs.h
@@ -25,6 +25,8 @@
   void clearTrouble() { HadTrouble = false; }
   [[nodiscard]] bool listIsSure() const;
 
+  /// Whether every kind was known whole once.
+  [[nodiscard]] bool knowsAll() const;
   [[nodiscard]] const object_cache &cache() const { return Cache; }
 
 private:
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -8,6 +8,9 @@
 static constexpr duration WatchWait = std::chrono::seconds(10);
 /// Longer than the store's slowest answers while it is in trouble.
 static constexpr duration ListTime = std::chrono::milliseconds(1'500);
+/// Between the list and the first watch: a node that needn't watch stops
+/// before it.
+static constexpr duration AfterList = std::chrono::milliseconds(250);
 /// For an answer to come back after the store's wait.
 static constexpr duration WatchMargin = std::chrono::milliseconds(1'500);
 
@@ -80,7 +83,7 @@
   auto Page = platform::decodePage(Body);
   if (!Page)
     return false;
-  Wait = duration::zero();
+  Wait = AfterList;
   auto *All = takePage(Watch, std::move(*Page));
   if (!All)
     return true;
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -41,7 +41,8 @@
 
 std::string relay_link::answer(std::string_view Query) const {
   known_revisions Known{};
-  const auto Texts = split(queryValue(Query, "known"), ',');
+  const std::string Value = queryValue(Query, "known");
+  const auto Texts = split(Value, ',');
   for (std::size_t Index = 0; Index < Known.size() && Index < Texts.size();
        ++Index)
     Known[Index] = parseNumber<std::uint64_t>(Texts[Index]).value_or(0);
--- a/Services/Node/store_caller.cpp
+++ b/Services/Node/store_caller.cpp
@@ -41,11 +41,8 @@
   Done = std::move(WhenDone);
   Status = 0;
   Body.clear();
-  Timer = Node.Loop.after(Time, [this] {
-    Timer = 0;
-    dropConnection();
-    finish(0);
-  });
+  Patience = Time;
+  startTimer();
   if (Connection && !Connection->isOpen())
     dropConnection();
   if (!Connection) {
@@ -67,6 +64,15 @@
   Connection->call(*this, Text, /*IsHead=*/false);
 }
 
+void store_caller::startTimer() {
+  Node.Loop.cancel(Timer);
+  Timer = Node.Loop.after(Patience, [this] {
+    Timer = 0;
+    dropConnection();
+    finish(0);
+  });
+}
+
 bool store_caller::abandon() {
   if (!Done)
     return false;
@@ -82,6 +88,9 @@
 }
 
 void store_caller::onBody(std::string &Piece) {
+  // A long answer over a slow link takes as long as it takes; only silence
+  // ends it.
+  startTimer();
   Body.append(Piece);
   Piece.clear();
 }
--- a/Services/Node/store_caller.h
+++ b/Services/Node/store_caller.h
@@ -44,6 +44,7 @@
   void onComplete() override;
   void onFailure(const call_failure &Failure) override;
   void finish(int Status);
+  void startTimer();
   void dropConnection();
 
   node &Node;
@@ -51,6 +52,8 @@
   std::unique_ptr<client_connection> Connection;
   std::function<void(store_answer)> Done;
   timer_id Timer = 0;
+  /// Longest silence of the present call.
+  duration Patience{};
   int Status = 0;
   std::string Body;
 };
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -17,9 +17,8 @@
 /// Longer than the store's answers take while it is slow.
 static constexpr duration ProbeTime = std::chrono::milliseconds(700);
 static constexpr duration DecisionPeriod = std::chrono::milliseconds(150);
-/// Time that a new node gives its peers to tell it everything, before it asks
-/// the store itself.
-static constexpr duration PeersFirst = std::chrono::milliseconds(400);
+/// Time that a new node gives the store before it asks its peers as well.
+static constexpr duration StoreFirst = std::chrono::milliseconds(400);
 /// State older than this makes a node use the other ways as well.
 static constexpr duration OldState = std::chrono::milliseconds(1'200);
 /// A node that fell back on the store goes on with it for this long, so that a
@@ -41,6 +40,7 @@
 
 void store_sync::start() {
   Started = Node.Loop.now();
+  setDirect(true);
   listInstances();
   Node.Loop.every(DecisionPeriod, [this] { decide(); });
   Node.Loop.after(ProbePeriod, [this] { probe(); });
@@ -55,13 +55,15 @@
 
 void store_sync::decide() {
   const instant Now = Node.Loop.now();
+  const bool KnowsAll = Beliefs.knowsAll();
   const bool Watches = KnowsInstances && isWatcher(Node.Fleet);
-  const bool IsOld = Now - Started > PeersFirst &&
+  const bool IsOld = Now - Started > StoreFirst &&
                      Now - std::max(AnsweredAt, Relay.freshAt()) > OldState;
-  if (!Watches && IsOld)
+  if (!Watches && IsOld && KnowsAll)
     DirectUntil = Now + DirectAtLeast;
-  setDirect(Watches || Now < DirectUntil);
-  if (!Watches || IsInDoubt)
+  // A whole list comes from the store; peers hand on what changes.
+  setDirect(Watches || !KnowsAll || Now < DirectUntil);
+  if ((!Watches && (KnowsAll || IsOld)) || IsInDoubt)
     Relay.start();
   else
     Relay.stop();
