--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -5,6 +5,11 @@
 
 namespace amaranthhoist {
 
+/// Instances that a failure domain must have up for its callers to be sent to
+/// those alone: with one, its loss would leave them none until their next
+/// look-up.
+static constexpr std::size_t LeastInDomain = 2;
+
 template <typename Predicate>
 static std::vector<std::string> addressesWhere(const fleet &Fleet,
                                                Predicate Wanted) {
@@ -22,7 +27,11 @@
 std::vector<std::string> addressesFor(const fleet &Fleet,
                                       std::string_view FailureDomain,
                                       std::string_view Region) {
-  (void)FailureDomain;
+  auto Nearest = addressesWhere(Fleet, [&](const fleet_member &Member) {
+    return Member.FailureDomain == FailureDomain;
+  });
+  if (Nearest.size() >= LeastInDomain)
+    return Nearest;
   auto Near = addressesWhere(Fleet, [&](const fleet_member &Member) {
     return Member.Region == Region;
   });
--- a/Libraries/Fleet/fleet.h
+++ b/Libraries/Fleet/fleet.h
@@ -42,8 +42,9 @@
 /// The most addresses in one answer.
 inline constexpr std::size_t MaxAddresses = 64;
 
-/// Addresses for callers in \p FailureDomain of \p Region: the instances of
-/// their region that are up; when there are none, all that are up.
+/// Addresses for callers in \p FailureDomain of \p Region: the instances that
+/// are up in their failure domain if there are some, else in their region, else
+/// anywhere.
 std::vector<std::string> addressesFor(const fleet &Fleet,
                                       std::string_view FailureDomain,
                                       std::string_view Region);
