--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -20,9 +20,12 @@
 
 kind_follower::~kind_follower() { stop(); }
 
-void kind_follower::start() {
-  if (IsRunning)
+void kind_follower::startOrRestart() {
+  if (IsRunning) {
+    if (Caller.abandon())
+      step();
     return;
+  }
   IsRunning = true;
   // What came from others meanwhile needn't be asked for again.
   const auto &Known = Beliefs.cache().Kinds[static_cast<std::size_t>(Kind)];
@@ -39,11 +42,6 @@
   Caller.abandon();
 }
 
-void kind_follower::restart() {
-  if (IsRunning && Caller.abandon())
-    step();
-}
-
 void kind_follower::step() {
   const store_request Request = nextRequest(Watch);
   const bool IsWatch = Request.Verb == store_verb::Watch;
--- a/Services/Node/kind_follower.h
+++ b/Services/Node/kind_follower.h
@@ -16,13 +16,11 @@
   kind_follower(node &Node, beliefs &Beliefs, object_kind Kind);
   ~kind_follower();
 
-  /// Begins, or goes on after stop().
-  void start();
+  /// Begins, goes on after stop(), or makes the call under way anew: the store
+  /// may have forgotten it without a sign on its connection.
+  void startOrRestart();
   /// Makes no more calls until start().
   void stop();
-  /// Gives up on the call under way and makes it anew: the store may have
-  /// forgotten it without a sign on its connection.
-  void restart();
 
 private:
   void step();
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -43,7 +43,6 @@
   setDirect(true);
   listInstances();
   Node.Loop.every(DecisionPeriod, [this] { decide(); });
-  Node.Loop.after(ProbePeriod, [this] { probe(); });
 }
 
 duration store_sync::age() const {
@@ -75,11 +74,13 @@
   if (IsWanted == IsDirect)
     return;
   IsDirect = IsWanted;
-  IsInDoubt = false;
-  for (kind_follower &Follower : Followers)
-    if (IsDirect)
-      Follower.start();
-    else
+  // Calls to a silent store would hang unnoticed: it has to answer first.
+  IsInDoubt = IsDirect;
+  HadSilence = false;
+  if (IsDirect)
+    probe();
+  else
+    for (kind_follower &Follower : Followers)
       Follower.stop();
   Node.Log.write(log_kind::Belief,
                  IsDirect ? "asks_store_itself" : "asks_peers", {},
@@ -87,11 +88,14 @@
 }
 
 void store_sync::probe() {
-  Node.Loop.after(IsInDoubt ? ProbePeriodInDoubt : ProbePeriod,
-                  [this] { probe(); });
+  Node.Loop.cancel(NextProbe);
   if (!IsDirect)
     return;
-  Prober.abandon();
+  NextProbe = Node.Loop.after(IsInDoubt ? ProbePeriodInDoubt : ProbePeriod,
+                              [this] { probe(); });
+  // A slow answer may take longer than the period in doubt.
+  if (Prober.isBusy())
+    return;
   Prober.call("GET", platform::encodeProbePath(object_kind::Evacuation), {},
               ProbeTime, [this](const store_answer &Answer) {
                 takeProbe(Answer.Status == 200);
@@ -99,21 +103,34 @@
 }
 
 void store_sync::takeProbe(bool IsAnswered) {
-  if (IsAnswered)
-    AnsweredAt = Node.Loop.now();
-  if (IsAnswered != IsInDoubt)
+  if (!IsDirect)
     return;
-  IsInDoubt = !IsAnswered;
-  // Peers that stayed in touch have told whether the store was away.
-  const bool PeersKnow = Node.Loop.now() - Relay.freshAt() <= OldState;
-  if (IsInDoubt || !PeersKnow)
+  if (!IsAnswered) {
+    if (!HadSilence)
+      Node.Log.write(log_kind::Belief, "store_silent", {}, Node.Loop.now());
+    IsInDoubt = true;
+    HadSilence = true;
     Beliefs.noteTrouble();
-  Node.Log.write(log_kind::Belief, IsInDoubt ? "store_silent" : "store_answers",
-                 {}, Node.Loop.now());
-  if (IsInDoubt)
     return;
+  }
+  AnsweredAt = Node.Loop.now();
+  if (IsInDoubt)
+    takeReturn();
+}
+
+/// The store answers, for the first time or again.
+void store_sync::takeReturn() {
+  IsInDoubt = false;
+  // Peers that stayed in touch have told whether the store was away.
+  const bool PeersKnow = Node.Loop.now() - Relay.freshAt() <= OldState;
+  if (HadSilence) {
+    Node.Log.write(log_kind::Belief, "store_answers", {}, Node.Loop.now());
+    if (!PeersKnow)
+      Beliefs.noteTrouble();
+  }
+  HadSilence = false;
   for (kind_follower &Follower : Followers)
-    Follower.restart();
+    Follower.startOrRestart();
 }
 
 /// Learns who else there is, and whether this node is known to them.
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -31,6 +31,7 @@
   duration age() const;
   void probe();
   void takeProbe(bool IsAnswered);
+  void takeReturn();
   void listInstances();
   void takeInstances(const list_page &Page);
   void registerNode(bool Create);
@@ -46,8 +47,11 @@
   bool IsDirect = false;
   /// Whether the list of instances was read once.
   bool KnowsInstances = false;
-  /// Whether the last probe of the store went unanswered.
+  /// Whether the store's next answer is awaited before anything is asked.
   bool IsInDoubt = false;
+  /// Whether a probe went unanswered since the last answer.
+  bool HadSilence = false;
+  timer_id NextProbe = 0;
   instant Started{};
   instant AnsweredAt{};
   instant DirectUntil{};
