--- a/Libraries/EventLoop/event_loop.cpp
+++ b/Libraries/EventLoop/event_loop.cpp
@@ -117,6 +117,8 @@
     for (const auto &Function : EndOfRound)
       Function();
   }
+  // A run may be nested in another one, which goes on.
+  Stopping = false;
 }
 
 } // namespace amaranthhoist
--- /dev/null
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -0,0 +1,258 @@
+#include "node_fleet.h"
+
+#include "Text/text.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace amaranthhoist {
+
+using nlohmann::json;
+
+/// A node that doesn't answer a small question in this time is asked again.
+static constexpr duration SmallAnswerTime = std::chrono::seconds(2);
+static constexpr duration CheckPeriod = std::chrono::milliseconds(5);
+
+caller_call::caller_call(event_loop &Loop, const std::string &Address,
+                         const std::string &Request)
+    : Connection(Loop) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint ||
+      !Connection.connect(*Endpoint, std::chrono::seconds(30))) {
+    Answer.IsOver = true;
+    return;
+  }
+  Connection.call(*this, Request, /*IsHead=*/false);
+}
+
+bool caller_call::onHead(const message_head &Head) {
+  Status = Head.status();
+  Answer.RetryAfter = Head.find("Retry-After").value_or("");
+  Answer.HasSignature = Head.find("X-Response-Stamp").has_value();
+  return true;
+}
+
+void caller_call::onBody(std::string &Body) {
+  Answer.Body.append(Body);
+  Body.clear();
+}
+
+void caller_call::onComplete() {
+  Answer.IsOver = true;
+  Answer.Status = Status;
+}
+
+void caller_call::onFailure(const call_failure &Failure) {
+  Answer.IsOver = true;
+  Answer.IsCut = Failure.HadAnswer;
+}
+
+node_fleet::node_fleet(std::string Program) : Program(std::move(Program)) {
+  std::string Template = "/tmp/node-fleet-XXXXXX";
+  Folder = mkdtemp(Template.data());
+}
+
+node_fleet::~node_fleet() {
+  for (const auto &Node : Nodes)
+    if (Node->Process > 0) {
+      kill(Node->Process, SIGKILL);
+      waitpid(Node->Process, nullptr, 0);
+    }
+  std::error_code Ignored;
+  std::filesystem::remove_all(Folder, Ignored);
+}
+
+target_stand_in &node_fleet::addTarget(const std::string &Id,
+                                       const std::string &Domain,
+                                       const std::string &State) {
+  auto &Target = Targets[Id];
+  Target = std::make_unique<target_stand_in>(Loop, Id);
+  listTarget(*Target, Domain, State);
+  return *Target;
+}
+
+void node_fleet::listTarget(const target_stand_in &Target,
+                            const std::string &Domain,
+                            const std::string &State) {
+  Store.put("servers", Target.Id,
+            {{"service", "desk"},
+             {"address", Target.address()},
+             {"zone", Domain},
+             {"slots", 4},
+             {"state", State},
+             {"warmup_remaining", "0ms"}});
+}
+
+static json makeRoute(const char *Prefix, const char *Kind) {
+  return {{"resource_kind", "routes"},
+          {"metadata", {{"name", Prefix}}},
+          {"specification",
+           {{"hostname", "shop.example"},
+            {"path_prefix", Prefix},
+            {"kind", Kind},
+            {"timeout", "4000ms"},
+            {"latency_objective", "500ms"},
+            {"priority", 1},
+            {"service", "desk"},
+            {"max_attempts", 2},
+            {"session_affinity", true}}}};
+}
+
+void node_fleet::putConfiguration(int Version, bool HasExtra) {
+  std::string Hex;
+  appendHex(Hex, static_cast<std::uint64_t>(Version), 8);
+  json Resources = {
+      makeRoute("/safe/", "safe"),
+      makeRoute("/once/", "unsafe"),
+      {{"resource_kind", "services"},
+       {"metadata", {{"name", "desk"}}},
+       {"specification",
+        {{"max_connections", 100}, {"warmup", "1s"}, {"warmup_per_s", 50}}}},
+      {{"resource_kind", "limits"},
+       {"metadata", json::object()},
+       {"specification",
+        {{"max_header_bytes", 8'192},
+         {"max_body_bytes", 100'000},
+         {"header_timeout", "1000ms"},
+         {"idle_timeout", "15s"}}}}};
+  if (HasExtra)
+    Resources.push_back(makeRoute("/extra/", "safe"));
+  Store.put("config", "main", {{"version", Hex}, {"resources", Resources}});
+}
+
+node_process &node_fleet::addNode(const std::string &Name,
+                                  const std::string &Domain,
+                                  const std::string &Region) {
+  auto Node = std::make_unique<node_process>();
+  Node->Name = Name;
+  Node->FailureDomain = Domain;
+  Node->Region = Region;
+  Nodes.push_back(std::move(Node));
+  return *Nodes.back();
+}
+
+std::string node_fleet::writeSettings(const node_process &Node) const {
+  std::string Seeds;
+  for (const auto &Other : Nodes)
+    append(Seeds, Seeds.empty() ? "" : ",", Other->Control);
+  const std::string File = cat(Folder, "/", Node.Name, ".yaml");
+  std::ofstream(File) << cat(
+      "instance: ", Node.Name, "\nfailure_domain: ", Node.FailureDomain,
+      "\nregion: ", Node.Region,
+      "\nfailure_domains: {a1: a, a2: a, b1: b}\nstore: \"", Store.address(),
+      "\"\nseeds: [", Seeds, "]\nlisten:\n  callers: ", Node.Callers,
+      "\n  readiness: ", Node.Readiness, "\n  lookups: ", Node.Lookups,
+      "\n  control: ", Node.Control, "\n  peers: ", Node.Peers,
+      "\nlimits:\n  processor: 0.2\n  memory_mb: 260\n"
+      "  file_descriptors: 4100\n"
+      "bounds:\n  repeat_ratio: 0.2\n  repeat_window: 10s\n"
+      "  repeat_slack: 60\n  grace_period: 6s\n  lookup_ttl: 5s\n");
+  return File;
+}
+
+void node_fleet::start(node_process &Node) {
+  const std::string File = writeSettings(Node);
+  const std::string Log = cat(Folder, "/", Node.Name, ".log");
+  Node.Process = fork();
+  if (Node.Process != 0)
+    return;
+  const int Output = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2(Output, STDOUT_FILENO);
+  dup2(Output, STDERR_FILENO);
+  // A test that crashes must not leave its nodes behind.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  execl(Program.c_str(), Program.c_str(), "--settings", File.c_str(),
+        static_cast<char *>(nullptr));
+  _exit(127);
+}
+
+void node_fleet::signal(node_process &Node, int Signal) {
+  kill(Node.Process, Signal);
+  if (Signal != SIGKILL)
+    return;
+  waitpid(Node.Process, nullptr, 0);
+  Node.Process = 0;
+}
+
+bool node_fleet::hasEnded(node_process &Node) {
+  if (Node.Process > 0 && waitpid(Node.Process, nullptr, WNOHANG) != 0)
+    Node.Process = 0;
+  return Node.Process == 0;
+}
+
+bool node_fleet::runUntil(const std::function<bool()> &Done, duration Time) {
+  bool IsDone = false;
+  bool IsOver = false;
+  // Runs may be nested: only the one under way may be stopped.
+  bool IsRunning = false;
+  timer_id Limit = Loop.after(Time, [&] {
+    IsOver = true;
+    Loop.stop();
+  });
+  timer_id Check = 0;
+  std::function<void()> Look = [&] {
+    if (Done()) {
+      IsDone = true;
+      if (IsRunning)
+        Loop.stop();
+      return;
+    }
+    Check = Loop.after(CheckPeriod, Look);
+  };
+  Look();
+  IsRunning = true;
+  if (!IsDone && !IsOver)
+    Loop.run();
+  Loop.cancel(Limit);
+  Loop.cancel(Check);
+  return IsDone;
+}
+
+void node_fleet::runFor(duration Time) {
+  Loop.after(Time, [this] { Loop.stop(); });
+  Loop.run();
+}
+
+bool node_fleet::waitReady(node_process &Node) {
+  return runUntil([&] {
+    return askSmall(Node.Readiness, "/amaranthhoist/readiness").Status == 200;
+  });
+}
+
+std::unique_ptr<caller_call> node_fleet::get(node_process &Node,
+                                             std::string_view Path,
+                                             std::string_view Id,
+                                             std::string_view Method,
+                                             std::string_view Body) {
+  std::string Request =
+      cat(Method, " ", Path, " HTTP/1.1\r\nHost: shop.example\r\n",
+          "X-Attempt-Id: ", Id, "\r\nX-Affinity-Key: ", Id,
+          "\r\nX-Deadline-Remaining: 3000\r\n");
+  if (!Body.empty())
+    append(Request, "Content-Length: ", Body.size(), "\r\n");
+  append(Request, "\r\n", Body);
+  return std::make_unique<caller_call>(Loop, Node.Callers, Request);
+}
+
+caller_answer node_fleet::ask(node_process &Node, std::string_view Path,
+                              std::string_view Id, std::string_view Method) {
+  auto Call = get(Node, Path, Id, Method);
+  runUntil([&] { return Call->answer().IsOver; });
+  return Call->answer();
+}
+
+caller_answer node_fleet::askSmall(const std::string &Address,
+                                   std::string_view Path) {
+  caller_call Call(Loop, Address,
+                   cat("GET ", Path, " HTTP/1.1\r\nHost: h\r\n\r\n"));
+  runUntil([&] { return Call.answer().IsOver; }, SmallAnswerTime);
+  return Call.answer();
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/NodeProcesses/stand_in_server.cpp
@@ -0,0 +1,115 @@
+#include "stand_in_server.h"
+
+#include "Text/text.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace amaranthhoist {
+
+static constexpr std::size_t MaxHead = 65'536;
+
+std::string freeAddress() {
+  const int Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof Address;
+  if (bind(Descriptor, reinterpret_cast<sockaddr *>(&Address), Size) != 0 ||
+      getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size) !=
+          0)
+    std::abort();
+  close(Descriptor);
+  return cat("127.0.0.1:", ntohs(Address.sin_port));
+}
+
+stand_in_connection::stand_in_connection(stand_in_server &Server,
+                                         std::uint64_t Number)
+    : Number(Number), Server(Server), Stream(Server.Loop, *this),
+      Reader(message_kind::Request, MaxHead) {}
+
+bool stand_in_connection::open(int Descriptor) {
+  return Stream.open(Descriptor, /*IsConnected=*/true);
+}
+
+void stand_in_connection::onBytes(std::string_view Bytes) {
+  Reader.feed(Bytes);
+  if (Reader.state() != read_state::Complete)
+    return;
+  Body = Reader.body();
+  Server.onRequest(*this);
+}
+
+void stand_in_connection::onEnd(stream_end /*End*/) {
+  Server.onConnectionEnd(*this);
+  Server.retire(Number);
+}
+
+void stand_in_connection::answer(int Status, std::string_view Fields,
+                                 std::string_view AnswerBody) {
+  Stream.write(cat("HTTP/1.1 ", Status, " ", reasonOf(Status), "\r\n", Fields,
+                   "Content-Length: ", AnswerBody.size(), "\r\n\r\n",
+                   AnswerBody));
+  Reader.reset();
+}
+
+stand_in_server::stand_in_server(event_loop &Loop)
+    : Loop(Loop), Address(freeAddress()) {
+  Loop.atEndOfRound([this] { Retired.clear(); });
+  listen();
+}
+
+stand_in_server::~stand_in_server() { goDown(); }
+
+void stand_in_server::listen() {
+  auto Descriptor = listenAt(*parseEndpoint(Address));
+  if (!Descriptor || !Loop.watch(*Descriptor, *this))
+    std::abort();
+  Listener = *Descriptor;
+}
+
+void stand_in_server::goDown() {
+  if (Listener >= 0) {
+    Loop.unwatch(Listener);
+    close(Listener);
+    Listener = -1;
+  }
+  for (auto &[Number, Connection] : Connections) {
+    Connection->reset();
+    Retired.push_back(std::move(Connection));
+  }
+  Connections.clear();
+}
+
+stand_in_connection *stand_in_server::connection(std::uint64_t Number) {
+  auto Found = Connections.find(Number);
+  return Found == Connections.end() || !Found->second->isOpen()
+             ? nullptr
+             : Found->second.get();
+}
+
+void stand_in_server::onEvent(const io_event & /*Event*/) {
+  bool OutOfDescriptors = false;
+  for (;;) {
+    const int Descriptor = acceptFrom(Listener, OutOfDescriptors);
+    if (Descriptor < 0)
+      return;
+    auto Connection =
+        std::make_unique<stand_in_connection>(*this, ++LastNumber);
+    if (Connection->open(Descriptor))
+      Connections.emplace(LastNumber, std::move(Connection));
+  }
+}
+
+void stand_in_server::retire(std::uint64_t Number) {
+  auto Found = Connections.find(Number);
+  if (Found == Connections.end())
+    return;
+  Retired.push_back(std::move(Found->second));
+  Connections.erase(Found);
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/NodeProcesses/store_stand_in.cpp
@@ -0,0 +1,129 @@
+#include "store_stand_in.h"
+
+#include "HttpConnection/small_server.h"
+#include "Text/text.h"
+
+namespace amaranthhoist {
+
+using nlohmann::json;
+
+static constexpr std::string_view Prefix = "/amaranthhoist/objects/";
+static constexpr std::string_view JsonField =
+    "Content-Type: application/json\r\n";
+
+bool store_stand_in::has(const std::string &Kind,
+                         const std::string &Name) const {
+  auto Found = Objects.find(Kind);
+  return Found != Objects.end() && Found->second.contains(Name);
+}
+
+void store_stand_in::setMode(mode NewMode) {
+  Mode = NewMode;
+  if (Mode == mode::Silent)
+    Watches.clear();
+}
+
+void store_stand_in::put(const std::string &Kind, const std::string &Name,
+                         const json &Specification) {
+  ++Revision;
+  Objects[Kind][Name] = {
+      {"metadata", {{"name", Name}, {"revision", Revision}}},
+      {"specification", Specification},
+      {"status", nullptr}};
+  History.push_back({Revision, Kind, false, Objects[Kind][Name]});
+  wakeWatches();
+}
+
+void store_stand_in::remove(const std::string &Kind, const std::string &Name) {
+  ++Revision;
+  History.push_back({Revision, Kind, true, Objects[Kind][Name]});
+  Objects[Kind].erase(Name);
+  wakeWatches();
+}
+
+void store_stand_in::wakeWatches() {
+  std::erase_if(Watches, [&](const watch &Watch) {
+    stand_in_connection *Connection = connection(Watch.Connection);
+    return !Connection || answerWatch(*Connection, Watch.Kind, Watch.Since);
+  });
+}
+
+void store_stand_in::onRequest(stand_in_connection &Connection) {
+  ++Calls;
+  if (Mode == mode::Silent)
+    return;
+  if (Mode == mode::Refusing) {
+    Connection.answer(503, JsonField, "{}");
+    return;
+  }
+  std::string_view Target = Connection.head().target();
+  Target.remove_prefix(std::min(Prefix.size(), Target.size()));
+  const std::size_t Mark = Target.find('?');
+  const std::string_view Query =
+      Mark == std::string_view::npos ? "" : Target.substr(Mark + 1);
+  const auto Parts = split(Target.substr(0, Mark), '/');
+  const std::string Kind(Parts[0]);
+  const std::string Name(Parts.size() > 1 ? Parts[1] : "");
+  if (Connection.head().method() == "GET")
+    onRead(Connection, Kind, Query);
+  else
+    onWrite(Connection, Kind, Name);
+}
+
+void store_stand_in::onWrite(stand_in_connection &Connection,
+                             const std::string &Kind,
+                             const std::string &PathName) {
+  const json Body = json::parse(Connection.body(), nullptr, false);
+  const std::string_view Method = Connection.head().method();
+  std::string Name = PathName;
+  if (Method == "POST")
+    Name = Body["metadata"].value("name", "");
+  const bool Exists = has(Kind, Name);
+  if (Method == "POST" ? Exists : !Exists) {
+    Connection.answer(Exists ? 409 : 404, JsonField, "{}");
+    return;
+  }
+  if (Method == "DELETE")
+    remove(Kind, Name);
+  else
+    put(Kind, Name, Body["specification"]);
+  Connection.answer(200, JsonField, "{}");
+}
+
+void store_stand_in::onRead(stand_in_connection &Connection,
+                            const std::string &Kind, std::string_view Query) {
+  const std::string Since = queryValue(Query, "watch");
+  if (!Since.empty()) {
+    const std::uint64_t From = parseNumber<std::uint64_t>(Since).value_or(0);
+    if (From < Oldest)
+      Connection.answer(410, JsonField, "{}");
+    else if (!answerWatch(Connection, Kind, From))
+      Watches.push_back({Connection.Number, Kind, From});
+    return;
+  }
+  json Items = json::array();
+  for (const auto &[Name, Object] : Objects[Kind])
+    Items.push_back(Object);
+  Connection.answer(
+      200, JsonField,
+      json{{"items", Items}, {"more", false}, {"at_revision", Revision}}
+          .dump());
+}
+
+bool store_stand_in::answerWatch(stand_in_connection &Connection,
+                                 const std::string &Kind,
+                                 std::uint64_t Since) {
+  json Events = json::array();
+  for (const event &Event : History)
+    if (Event.Kind == Kind && Event.Revision > Since)
+      Events.push_back(
+          {{"deleted", Event.IsDeleted}, {"object", Event.Object}});
+  if (Events.empty())
+    return false;
+  Connection.answer(
+      200, JsonField,
+      json{{"events", Events}, {"at_revision", Revision}}.dump());
+  return true;
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/NodeProcesses/store_stand_in.h
@@ -0,0 +1,57 @@
+/// The platform's store as a small stand-in: kinds of objects, one revision,
+/// lists, watches that wait, writes; it can fall silent, refuse everybody, and
+/// forget its history.
+#pragma once
+
+#include "stand_in_server.h"
+
+#include <nlohmann/json.hpp>
+
+namespace amaranthhoist {
+
+class store_stand_in : public stand_in_server {
+public:
+  explicit store_stand_in(event_loop &Loop) : stand_in_server(Loop) {}
+
+  enum class mode : std::uint8_t { Serving, Silent, Refusing };
+  /// Waiting watches are forgotten when it falls silent.
+  void setMode(mode NewMode);
+  void put(const std::string &Kind, const std::string &Name,
+           const nlohmann::json &Specification);
+  void remove(const std::string &Kind, const std::string &Name);
+  /// Drops the history: watches from before are told 410.
+  void compact() { Oldest = Revision; }
+  [[nodiscard]] bool has(const std::string &Kind, const std::string &Name) const;
+  /// Lists and watches asked for, and calls of any kind.
+  int Calls = 0;
+
+private:
+  void onRequest(stand_in_connection &Connection) override;
+  void onWrite(stand_in_connection &Connection, const std::string &Kind,
+               const std::string &Name);
+  void onRead(stand_in_connection &Connection, const std::string &Kind,
+              std::string_view Query);
+  bool answerWatch(stand_in_connection &Connection, const std::string &Kind,
+                   std::uint64_t Since);
+  void wakeWatches();
+
+  struct event {
+    std::uint64_t Revision = 0;
+    std::string Kind;
+    bool IsDeleted = false;
+    nlohmann::json Object;
+  };
+  struct watch {
+    std::uint64_t Connection = 0;
+    std::string Kind;
+    std::uint64_t Since = 0;
+  };
+  mode Mode = mode::Serving;
+  std::uint64_t Revision = 1;
+  std::uint64_t Oldest = 0;
+  std::map<std::string, std::map<std::string, nlohmann::json>> Objects;
+  std::vector<event> History;
+  std::vector<watch> Watches;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -0,0 +1,86 @@
+#include "target_stand_in.h"
+
+#include "Text/text.h"
+
+namespace amaranthhoist {
+
+std::string target_stand_in::bodyFor(std::string_view RequestId) {
+  std::string Body;
+  for (int Line = 0; Line < 40; ++Line)
+    append(Body, RequestId, " line ", Line, "\n");
+  return Body;
+}
+
+void target_stand_in::onRequest(stand_in_connection &Connection) {
+  const message_head &Head = Connection.head();
+  const std::string RequestId(Head.find("X-Attempt-Id").value_or(""));
+  const auto Expected = Head.find("X-Expected-Instance");
+  const auto TimeLeft = Head.find("X-Deadline-Remaining");
+  LastTimeLeft =
+      TimeLeft ? parseNumber<std::int64_t>(*TimeLeft).value_or(-1) : -1;
+  if (Expected && *Expected != Id) {
+    Connection.answer(421, cat("X-Attempt-Id: ", RequestId, "\r\n"), "");
+    return;
+  }
+  if (Behavior == behavior::Sheds) {
+    Connection.answer(
+        503, cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n"), "");
+    return;
+  }
+  ++Runs[RequestId];
+  UnderWay[Connection.Number] = RequestId;
+  const std::uint64_t Number = Connection.Number;
+  Loop.after(Work, [this, Number, RequestId] { finish(Number, RequestId); });
+}
+
+void target_stand_in::onConnectionEnd(stand_in_connection &Connection) {
+  auto Found = UnderWay.find(Connection.Number);
+  if (Found == UnderWay.end())
+    return;
+  Abandoned.push_back(Found->second);
+  UnderWay.erase(Found);
+}
+
+void target_stand_in::finish(std::uint64_t Number,
+                             const std::string &RequestId) {
+  UnderWay.erase(Number);
+  stand_in_connection *Connection = connection(Number);
+  if (!Connection)
+    return;
+  const std::string Body = bodyFor(RequestId);
+  const std::string Id = cat("X-Attempt-Id: ", RequestId, "\r\n");
+  const std::string Fields =
+      cat(Id, "X-Response-Stamp: stamp-", RequestId,
+          "\r\nX-Server-Load: 1,0,4\r\n");
+  switch (Behavior) {
+  case behavior::Sound:
+  case behavior::Sheds:
+    Connection->answer(200, Fields, Body);
+    return;
+  case behavior::LosesAnswers:
+    Connection->reset();
+    return;
+  case behavior::BreaksOff:
+    Connection->send(cat("HTTP/1.1 200 OK\r\n", Fields, "Content-Length: ",
+                         Body.size(), "\r\n\r\n",
+                         Body.substr(0, Body.size() / 2)));
+    Connection->close();
+    return;
+  case behavior::Garbles:
+    Connection->send("this is no answer\r\n\r\n");
+    return;
+  case behavior::AnswersTwice:
+    Connection->answer(200, Fields, Body);
+    Connection->send(cat("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n",
+                         "X-Response-Stamp: stamp-other\r\n",
+                         "Content-Length: 5\r\n\r\nother"));
+    return;
+  case behavior::Unsigned:
+    Connection->answer(200, Id, Body);
+    return;
+  case behavior::Silent:
+    return;
+  }
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -0,0 +1,58 @@
+/// A backend server as a small stand-in: works for a while, echoes the request
+/// id, signs its answers, counts what it ran, and misbehaves on demand.
+#pragma once
+
+#include "stand_in_server.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace amaranthhoist {
+
+class target_stand_in : public stand_in_server {
+public:
+  target_stand_in(event_loop &Loop, std::string Id)
+      : stand_in_server(Loop), Id(std::move(Id)) {}
+
+  enum class behavior : std::uint8_t {
+    Sound,
+    /// Says that it did not run the request.
+    Sheds,
+    /// Runs it and resets the connection instead of answering.
+    LosesAnswers,
+    /// Breaks off in the middle of the body.
+    BreaksOff,
+    /// Sends bytes that are no answer.
+    Garbles,
+    /// Sends another answer after each.
+    AnswersTwice,
+    /// Answers without its signature.
+    Unsigned,
+    /// Never answers.
+    Silent,
+  };
+  behavior Behavior = behavior::Sound;
+  /// Time of the work.
+  duration Work = std::chrono::milliseconds(20);
+  const std::string Id;
+  /// How often each request was run, by its id.
+  std::map<std::string, int> Runs;
+  /// Requests whose connection ended while they were worked on.
+  std::vector<std::string> Abandoned;
+  /// Longest time left that a request came with, in milliseconds; -1: none.
+  std::int64_t LastTimeLeft = -1;
+
+  /// The body of the answer to \p RequestId.
+  static std::string bodyFor(std::string_view RequestId);
+
+private:
+  void onRequest(stand_in_connection &Connection) override;
+  void onConnectionEnd(stand_in_connection &Connection) override;
+  void finish(std::uint64_t Number, const std::string &RequestId);
+
+  /// Requests under way, by connection.
+  std::map<std::uint64_t, std::string> UnderWay;
+};
+
+} // namespace amaranthhoist
