--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -81,6 +81,18 @@
   ServerDidNotRun = false;
   beginAttempt(Node.Steering, Plan, Chosen, AttemptBegan);
   Connection = Pool.take(Chosen, Plan.Class);
+  Node.Log.write(
+      log_kind::Attempt, "sent",
+      {{"request", Request.Id},
+       {"server", Chosen.Entry.Id},
+       {"region", Chosen.Region},
+       {"load", estimatedLoad(Chosen, AttemptBegan)},
+       {"kept_connection", Connection != nullptr},
+       {"version",
+        static_cast<std::int64_t>(Node.Steering.Routes->Configuration.Version)},
+       {"left_us",
+        static_cast<std::int64_t>((Plan.Deadline - AttemptBegan).count())}},
+      AttemptBegan);
   if (!Connection) {
     Connection = Pool.open(Chosen);
     if (!Connection) {
