--- a/Services/Node/beliefs.cpp
+++ b/Services/Node/beliefs.cpp
@@ -6,10 +6,6 @@
 
 namespace amaranthhoist {
 
-/// After trouble with the store the list may miss servers that live: entries
-/// that lapsed are back within two seconds of its return; a little is added for
-/// the way here. What is missing then is gone.
-static constexpr duration UnsureAfterTrouble = std::chrono::milliseconds(2'200);
 static constexpr duration HousekeepingPeriod = std::chrono::milliseconds(150);
 
 beliefs::beliefs(node &Node) : Node(Node) {
@@ -22,15 +18,14 @@
   freeDeparted(Node.Steering.Targets);
 }
 
-void beliefs::noteTrouble() {
-  LastTrouble = Node.Loop.now();
-  HadTrouble = true;
-}
+void beliefs::noteTrouble() { noteStoreTrouble(Trust, Node.Loop.now()); }
 
-bool beliefs::listIsSure() const {
-  return !HadTrouble || Node.Loop.now() - LastTrouble > UnsureAfterTrouble;
+void beliefs::notePeer(bool ListIsSure) {
+  notePeerTrust(Trust, ListIsSure, Node.Loop.now());
 }
 
+bool beliefs::listIsSure() const { return isListSure(Trust, Node.Loop.now()); }
+
 bool beliefs::knowsAll() const {
   return std::all_of(Cache.Kinds.begin(), Cache.Kinds.end(),
                      [](const auto &Kind) { return Kind.HasState; });
--- a/Services/Node/beliefs.h
+++ b/Services/Node/beliefs.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ObjectCache/object_cache.h"
+#include "Targets/list_trust.h"
 #include "node.h"
 
 #include <string>
@@ -17,12 +18,10 @@
   /// Takes in changes; older ones than are known are left out.
   void take(kind_changes Changes);
 
-  /// Notes that the store may have been away: for a while its list may miss
-  /// servers that live.
+  /// The store fell silent, or answers again after that.
   void noteTrouble();
-  /// Notes that whoever was in touch with the store all the while says that it
-  /// wasn't away; the trouble was only this node's own way there.
-  void clearTrouble() { HadTrouble = false; }
+  /// A peer whose state is fresh tells whether its list is sure.
+  void notePeer(bool ListIsSure);
   [[nodiscard]] bool listIsSure() const;
 
   /// Whether every kind was known whole once.
@@ -41,8 +40,7 @@
 
   node &Node;
   object_cache Cache;
-  instant LastTrouble{};
-  bool HadTrouble = false;
+  list_trust Trust;
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -117,10 +117,7 @@
     Misses = 0;
     FurtherAnswers = 0;
   }
-  if (Changes->ListIsSure)
-    Beliefs.clearTrouble();
-  else
-    Beliefs.noteTrouble();
+  Beliefs.notePeer(Changes->ListIsSure);
   FreshAt = Node.Loop.now() - Changes->Age;
   for (kind_changes &Kind : Changes->Kinds)
     Beliefs.take(std::move(Kind));
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -120,12 +120,9 @@
 /// The store answers, for the first time or again.
 void store_sync::takeReturn() {
   IsInDoubt = false;
-  // Peers that stayed in touch have told whether the store was away.
-  const bool PeersKnow = Node.Loop.now() - Relay.freshAt() <= OldState;
   if (HadSilence) {
     Node.Log.write(log_kind::Belief, "store_answers", {}, Node.Loop.now());
-    if (!PeersKnow)
-      Beliefs.noteTrouble();
+    Beliefs.noteTrouble();
   }
   HadSilence = false;
   for (kind_follower &Follower : Followers)
--- a/Tests/targets_test.cpp
+++ b/Tests/targets_test.cpp
@@ -1,5 +1,6 @@
 // What an instance believes of the backend servers.
 
+#include "Targets/list_trust.h"
 #include "Targets/targets.h"
 
 #include <CppUTest/TestHarness.h>
@@ -61,6 +62,34 @@
   LONGS_EQUAL(1, Directory.ByService["desk"].size());
 }
 
+// Symptom: a server that left gets requests 2.9 s later. Sequence: the store
+// turns some instances away and serves the others; one of those turned away
+// learns of the removal from a peer in touch, between two unanswered questions
+// of its own to the store, and hands it on as unsure. Cause: its own trouble
+// counted again with each unanswered question, against the peer's word.
+TEST(Targets, APeerInTouchKnowsThatTheStoreWasNotAway) {
+  list_trust Trust;
+  noteStoreTrouble(Trust, instant(seconds(10)));
+  CHECK_FALSE(isListSure(Trust, instant(seconds(11))));
+  for (int Step = 0; Step < 40; ++Step) {
+    const instant Now = instant(seconds(11)) + milliseconds(100 * Step);
+    if (Step % 4 == 0)
+      notePeerTrust(Trust, /*PeerIsSure=*/true, Now);
+    if (Step % 3 == 0)
+      noteStoreTrouble(Trust, Now);
+    CHECK(isListSure(Trust, Now));
+  }
+}
+
+TEST(Targets, AStoreThatWasAwayIsNotBelievedAtOnce) {
+  list_trust Trust;
+  CHECK(isListSure(Trust, instant(seconds(1))));
+  notePeerTrust(Trust, /*PeerIsSure=*/false, instant(seconds(5)));
+  noteStoreTrouble(Trust, instant(seconds(10)));
+  CHECK_FALSE(isListSure(Trust, instant(seconds(12))));
+  CHECK(isListSure(Trust, instant(seconds(13))));
+}
+
 TEST(Targets, AWholeListRemovesTheOthers) {
   target_directory Directory = makeDirectory(3);
   keepOnly(Directory, {"s1"}, /*ListIsSure=*/true);
