--- a/Libraries/StoreClient/list_watch.cpp
+++ b/Libraries/StoreClient/list_watch.cpp
@@ -36,12 +36,18 @@
   return Batch.Changes.empty() ? duration::zero() : Watch.Pace.AfterChanges;
 }
 
+void listAnew(list_watch &Watch) {
+  Watch.Next = store_verb::List;
+  Watch.After.clear();
+}
+
 duration takeFailure(list_watch &Watch, store_failure Failure) {
   if (Failure == store_failure::HistoryGone) {
-    Watch.Next = store_verb::List;
-    Watch.After.clear();
+    listAnew(Watch);
     return duration::zero();
   }
+  if (Failure == store_failure::Silent)
+    listAnew(Watch);
   // Enough doublings to reach the longest wait from the first one.
   constexpr int MostDoublings = 8;
   const int Doublings = std::min(Watch.FailuresInARow, MostDoublings);
--- a/Libraries/StoreClient/list_watch.h
+++ b/Libraries/StoreClient/list_watch.h
@@ -95,6 +95,11 @@
 /// Takes in changes; how long to wait before the next call.
 duration takeBatch(list_watch &Watch, const change_batch &Batch);
 
+/// Makes the next call a list: a watch that ended without a word may have
+/// missed changes, and a new one from its revision may wait in vain until its
+/// end before the loss of the history is told.
+void listAnew(list_watch &Watch);
+
 /// Takes in a failure; how long to wait before the next call.
 duration takeFailure(list_watch &Watch, store_failure Failure);
 
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -27,8 +27,10 @@
 
 void kind_follower::startOrRestart() {
   if (IsRunning) {
-    if (Caller.abandon())
+    if (Caller.abandon()) {
+      listAnew(Watch);
       step();
+    }
     return;
   }
   IsRunning = true;
--- a/Tests/store_test.cpp
+++ b/Tests/store_test.cpp
@@ -54,6 +54,20 @@
   CHECK(nextRequest(Watch).Verb == store_verb::List);
 }
 
+// Symptom: a route is refused 5 s after it was accepted. Sequence: watches hear
+// nothing while a configuration is accepted, and the history is dropped; one
+// that ended just before is made anew from its old revision and waits in vain.
+// Cause: going on from a revision after a silence.
+TEST(Store, ASilenceIsFollowedByAList) {
+  list_watch Watch;
+  takePage(Watch, {{}, false, 10});
+  takeFailure(Watch, store_failure::Silent);
+  CHECK(nextRequest(Watch).Verb == store_verb::List);
+  takePage(Watch, {{}, false, 12});
+  takeFailure(Watch, store_failure::Refused);
+  CHECK(nextRequest(Watch).Verb == store_verb::Watch);
+}
+
 TEST(Store, FailuresAreRetriedMoreAndMoreSlowly) {
   list_watch Watch;
   const duration First = takeFailure(Watch, store_failure::Silent);
