--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -106,15 +106,7 @@
 
 void exchange::dropConnection() {
   Node.Loop.cancel(ConnectTimer);
-  if (!Connection)
-    return;
-  struct retired_connection : retirable {
-    std::unique_ptr<client_connection> Connection;
-  };
-  Connection->close();
-  auto Retired = std::make_unique<retired_connection>();
-  Retired->Connection = std::move(Connection);
-  Node.Retired.push_back(std::move(Retired));
+  retireConnection(Node, Connection);
 }
 
 void exchange::endAttempt(attempt_result Result) {
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -20,6 +20,19 @@
   Steering.Instances = {stableHash(Settings.Instance)};
 }
 
+void retireConnection(node &Node,
+                      std::unique_ptr<client_connection> &Connection) {
+  struct retired_connection : retirable {
+    std::unique_ptr<client_connection> Connection;
+  };
+  if (!Connection)
+    return;
+  Connection->close();
+  auto Retired = std::make_unique<retired_connection>();
+  Retired->Connection = std::move(Connection);
+  Node.Retired.push_back(std::move(Retired));
+}
+
 bool node::isReady() const {
   return Steering.Routes.has_value() && !Steering.Targets.ById.empty() &&
          !IsLeaving;
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -5,6 +5,7 @@
 #include "EventLog/event_log.h"
 #include "EventLoop/event_loop.h"
 #include "Fleet/fleet.h"
+#include "HttpConnection/client_connection.h"
 #include "Metrics/metrics.h"
 #include "NodeSettings/node_settings.h"
 #include "Steering/steering.h"
@@ -42,6 +43,13 @@
   virtual ~retirable() = default;
 };
 
+struct node;
+
+/// Closes a connection, if there is one, and destroys it after the present
+/// round of events.
+void retireConnection(node &Node,
+                      std::unique_ptr<client_connection> &Connection);
+
 struct node {
   node(node_settings Settings, const wire_names &Wire);
 
--- a/Services/Node/store_caller.cpp
+++ b/Services/Node/store_caller.cpp
@@ -14,17 +14,7 @@
 
 store_caller::~store_caller() { Node.Loop.cancel(Timer); }
 
-void store_caller::dropConnection() {
-  if (!Connection)
-    return;
-  struct retired_connection : retirable {
-    std::unique_ptr<client_connection> Connection;
-  };
-  Connection->close();
-  auto Retired = std::make_unique<retired_connection>();
-  Retired->Connection = std::move(Connection);
-  Node.Retired.push_back(std::move(Retired));
-}
+void store_caller::dropConnection() { retireConnection(Node, Connection); }
 
 void store_caller::setServer(const std::string &NewServer) {
   if (Server == NewServer)
