RequestTrace: explain a request from its nodes' logs; status of a node

Cause: an operator with a request's id had to search lines by hand, lines of a failed request's attempts were sampled away (5 a second), a refusal did not say which loads decided it, and a request cut by its node's end had no line. Change: every final line names all attempts; a refusal names both places with load, predicted wait and the age of the report; 'explain REQUEST' reads any nodes' logs; 'status' shows beliefs and their age; 'settings check' takes nodes' files; a metrics address that can't be had no longer ends the process. Ruled out: logging every attempt (100 more lines a second and node under load).

--- a/Libraries/EventLog/event_log.cpp
+++ b/Libraries/EventLog/event_log.cpp
@@ -24,7 +24,7 @@
     fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
 }
 
-bool event_log::admit(log_kind Kind, instant Now) {
+bool event_log::hasRoom(log_kind Kind, instant Now) {
   const auto Index = static_cast<std::size_t>(Kind);
   const std::int64_t NowSecond =
       std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch())
@@ -34,12 +34,14 @@
     Written.fill(0);
     tellLeftOut(Now);
   }
-  if (Written[Index] >= Bounds[Index]) {
-    ++LeftOut[Index];
-    return false;
-  }
-  ++Written[Index];
-  return true;
+  return Written[Index] < Bounds[Index];
+}
+
+bool event_log::wouldWrite(log_kind Kind, instant Now) {
+  if (hasRoom(Kind, Now))
+    return true;
+  ++LeftOut[static_cast<std::size_t>(Kind)];
+  return false;
 }
 
 void event_log::tellLeftOut(instant Now) {
@@ -99,8 +101,9 @@
 
 void event_log::write(log_kind Kind, std::string_view Event,
                       std::initializer_list<log_entry> Fields, instant Now) {
-  if (!admit(Kind, Now))
+  if (!wouldWrite(Kind, Now))
     return;
+  ++Written[static_cast<std::size_t>(Kind)];
   append(Event, Fields, Now);
   if (Buffer.size() >= FlushAt)
     flush();
--- a/Libraries/EventLog/event_log.h
+++ b/Libraries/EventLog/event_log.h
@@ -44,6 +44,10 @@
   /// \p Identity goes into every line.
   event_log(int Descriptor, std::string_view Identity);
 
+  /// Whether a line of that kind would be taken in now. False counts it as left
+  /// out: for lines whose fields cost something to make.
+  [[nodiscard]] bool wouldWrite(log_kind Kind, instant Now);
+
   /// Adds a line. \p Event names what happened, in snake case.
   void write(log_kind Kind, std::string_view Event,
              std::initializer_list<log_entry> Fields, instant Now);
@@ -54,7 +58,7 @@
   [[nodiscard]] std::uint64_t dropped() const { return Dropped; }
 
 private:
-  bool admit(log_kind Kind, instant Now);
+  bool hasRoom(log_kind Kind, instant Now);
   void tellLeftOut(instant Now);
   void append(std::string_view Event, std::initializer_list<log_entry> Fields,
               instant Now);
--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -60,6 +60,12 @@
   Reader.rejectUnknown();
 }
 
+bool isNodeSettings(std::string_view Text) {
+  std::vector<settings_fault> Faults;
+  const YAML::Node Root = parseYaml(Text, Faults);
+  return Root["listen"].IsDefined();
+}
+
 node_settings_check checkNodeSettings(std::string_view Text) {
   node_settings_check Check;
   const YAML::Node Root = parseYaml(Text, Check.Faults);
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -65,6 +65,10 @@
   std::vector<settings_fault> Faults;
 };
 
+/// Whether \p Text is meant as a node's settings, sound or not, and not as
+/// those of the three daemons.
+bool isNodeSettings(std::string_view Text);
+
 /// Checks the text of a node's settings file.
 node_settings_check checkNodeSettings(std::string_view Text);
 
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -7,10 +7,6 @@
 
 namespace amaranthhoist {
 
-/// Servers of an object that are tried for room before it is refused. With two
-/// a hot object has a second place; with more, it pushes out what is warm
-/// elsewhere and everybody gets slower (measured: docs/PLATFORM-DESIGN.md).
-static constexpr std::size_t PlacesPerObject = 2;
 /// How much of the work stays in the region that asks for it.
 static constexpr double Locality = 0.8;
 /// The weights of regions are made anew this often; they follow the list of
@@ -103,11 +99,17 @@
   return Plan;
 }
 
-/// How long a request would wait for a slot of \p Target.
-static duration predictedWait(const target &Target, double Urgency,
-                              instant Now) {
+/// How many places in a server's queue the urgency of a request may use.
+static double queueRoomFor(const steering &Steering, const request_plan &Plan) {
+  return std::min(MostRoomForUrgency,
+                  RoomPerUrgency * (Steering.LeastUrgent - Plan.Priority));
+}
+
+/// How long a request would wait for a slot of \p Target under \p Load.
+static duration predictedWait(const target &Target, double Load,
+                              double QueueRoom) {
   const double Slots = Target.Entry.Slots;
-  const double Before = estimatedLoad(Target, Now) - Urgency - Slots + 1;
+  const double Before = Load - QueueRoom - Slots + 1;
   if (Before <= 0)
     return duration::zero();
   const duration Mean =
@@ -116,16 +118,6 @@
                                             static_cast<double>(Mean.count())));
 }
 
-static bool hasRoom(const steering &Steering, const request_plan &Plan,
-                    const target &Target, instant Now) {
-  const double Urgency =
-      std::min(MostRoomForUrgency,
-               RoomPerUrgency * (Steering.LeastUrgent - Plan.Priority));
-  const duration Longest(static_cast<std::int64_t>(
-      MostWait * static_cast<double>(Plan.Objective.count())));
-  return predictedWait(Target, Urgency, Now) <= Longest;
-}
-
 static double ownColdRate(const steering &Steering, const target &Target) {
   const service *Service =
       Steering.Routes ? findService(*Steering.Routes, Target.Entry.Service)
@@ -167,32 +159,50 @@
   return Weights.ByRegion;
 }
 
-tl::expected<target *, refusal>
-chooseTarget(steering &Steering, const request_plan &Plan, instant Now) {
-  if (Plan.Deadline - Now < LeastTime)
-    return tl::unexpected(refusal::TooLate);
+static bool wasTried(const request_plan &Plan, const target &Target) {
+  return std::find(Plan.Tried.begin(), Plan.Tried.end(), Target.Entry.Id) !=
+         Plan.Tried.end();
+}
+
+weighed_places weighPlaces(steering &Steering, const request_plan &Plan,
+                           instant Now) {
+  weighed_places Weighed;
   auto Found = Steering.Targets.ByService.find(Plan.Service);
   if (Found == Steering.Targets.ByService.end())
-    return tl::unexpected(refusal::NoTarget);
+    return Weighed;
   const std::vector<target *> &Targets = Found->second;
   const rank_request Request{Plan.KeyHash, Plan.HomeRegions,
                              weightsOf(Steering, Plan.Service, Targets, Now)};
   const ranking Ranking = rankTargets(Steering.Targets, Targets, Request, Now);
-  if (Ranking.Count == 0)
-    return tl::unexpected(refusal::NoTarget);
-  std::size_t Places = PlacesPerObject;
+  Weighed.HasServers = Ranking.Count > 0;
+  Weighed.LongestWait = duration(static_cast<std::int64_t>(
+      MostWait * static_cast<double>(Plan.Objective.count())));
+  const double QueueRoom = queueRoomFor(Steering, Plan);
   for (target *Target : Ranking.targets()) {
-    const bool WasTried = std::find(Plan.Tried.begin(), Plan.Tried.end(),
-                                    Target->Entry.Id) != Plan.Tried.end();
     // A place that can't be used for a while doesn't count as one.
-    if (WasTried || !bearsRequest(Steering, *Target, Now))
+    if (wasTried(Plan, *Target) || !bearsRequest(Steering, *Target, Now))
       continue;
-    if (Places == 0)
+    if (Weighed.Count == Weighed.Places.size())
       break;
-    --Places;
-    if (hasRoom(Steering, Plan, *Target, Now))
-      return Target;
+    weighed_place &Place = Weighed.Places[Weighed.Count++];
+    Place.Target = Target;
+    Place.Load = estimatedLoad(*Target, Now);
+    Place.Wait = predictedWait(*Target, Place.Load, QueueRoom);
+    Place.HasRoom = Place.Wait <= Weighed.LongestWait;
   }
+  return Weighed;
+}
+
+tl::expected<target *, refusal>
+chooseTarget(steering &Steering, const request_plan &Plan, instant Now) {
+  if (Plan.Deadline - Now < LeastTime)
+    return tl::unexpected(refusal::TooLate);
+  const weighed_places Weighed = weighPlaces(Steering, Plan, Now);
+  if (!Weighed.HasServers)
+    return tl::unexpected(refusal::NoTarget);
+  for (const weighed_place &Place : Weighed.places())
+    if (Place.HasRoom)
+      return Place.Target;
   return tl::unexpected(refusal::NoRoom);
 }
 
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -8,9 +8,11 @@
 #include "RouteTable/route_table.h"
 #include "Targets/targets.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -106,6 +108,41 @@
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts);
 
+/// Servers of an object that are tried for room before a request for it is
+/// refused. With two a hot object has a second place; with more, it pushes out
+/// what is warm elsewhere and everybody gets slower (measured:
+/// docs/PLATFORM-DESIGN.md).
+inline constexpr std::size_t PlacesPerObject = 2;
+
+/// A server that a request may go to, with what decides whether it has room.
+struct weighed_place {
+  target *Target = nullptr;
+  /// Requests estimated to be under way there, all instances together.
+  double Load = 0;
+  /// Predicted wait for a slot.
+  duration Wait{};
+  bool HasRoom = false;
+};
+
+/// The places of one request, the preferred one first.
+struct weighed_places {
+  std::array<weighed_place, PlacesPerObject> Places{};
+  std::size_t Count = 0;
+  /// Whether any server of the service may be used at all.
+  bool HasServers = false;
+  /// The longest wait at which a place still counts as having room.
+  duration LongestWait{};
+
+  [[nodiscard]] std::span<const weighed_place> places() const {
+    return {Places.data(), Count};
+  }
+};
+
+/// Weighs the places of a request. The same state and time give the same
+/// result, so that a refusal can be explained after it was decided.
+weighed_places weighPlaces(steering &Steering, const request_plan &Plan,
+                           instant Now);
+
 /// The server that the request goes to next. Counts nothing yet.
 tl::expected<target *, refusal>
 chooseTarget(steering &Steering, const request_plan &Plan, instant Now);
--- a/Services/Node/beliefs.cpp
+++ b/Services/Node/beliefs.cpp
@@ -24,6 +24,11 @@
   notePeerTrust(Trust, ListIsSure, Node.Loop.now());
 }
 
+duration beliefs::configurationAge() const {
+  return Node.Steering.Routes ? Node.Loop.now() - ConfigurationSince
+                              : duration::zero();
+}
+
 bool beliefs::listIsSure() const { return isListSure(Trust, Node.Loop.now()); }
 
 bool beliefs::knowsAll() const {
@@ -85,6 +90,8 @@
   const std::size_t Routes = Configuration->Routes.size();
   const bool IsNew =
       applyConfiguration(Node.Steering, std::move(*Configuration));
+  if (IsNew)
+    ConfigurationSince = Node.Loop.now();
   Node.Log.write(log_kind::Belief,
                  IsNew ? "configuration_applied" : "configuration_kept",
                  {{"version", static_cast<std::int64_t>(Version)},
--- a/Services/Node/beliefs.h
+++ b/Services/Node/beliefs.h
@@ -26,6 +26,8 @@
 
   /// Whether every kind was known whole once.
   [[nodiscard]] bool knowsAll() const;
+  /// Since the configuration in force was applied; zero: none yet.
+  [[nodiscard]] duration configurationAge() const;
   [[nodiscard]] const object_cache &cache() const { return Cache; }
 
 private:
@@ -41,6 +43,7 @@
   node &Node;
   object_cache Cache;
   list_trust Trust;
+  instant ConfigurationSince{};
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -28,6 +28,11 @@
   [[nodiscard]] bool isBusy() const { return Current || Reader.hasBegun(); }
   /// Ends an idle connection.
   void endIdle();
+  /// The process ends before the request that is served does.
+  void noteCutOff() {
+    if (Current)
+      Current->noteCutOff();
+  }
 
 private:
   void onBytes(std::string_view Bytes) override;
--- a/Services/Node/caller_server.cpp
+++ b/Services/Node/caller_server.cpp
@@ -70,6 +70,13 @@
                      [](const auto &Entry) { return Entry.first->isBusy(); });
 }
 
+void caller_server::noteCutOff() {
+  for (const auto &[Raw, Connection] : Connections)
+    Raw->noteCutOff();
+  for (const auto &[Raw, Exchange] : Adopted)
+    Raw->noteCutOff();
+}
+
 void caller_server::retire(caller_connection &Connection) {
   auto Found = Connections.find(&Connection);
   if (Found == Connections.end())
--- a/Services/Node/caller_server.h
+++ b/Services/Node/caller_server.h
@@ -24,6 +24,10 @@
   /// Whether any request is being read or served, with or without its caller.
   [[nodiscard]] bool isBusy() const;
 
+  /// The process ends: leaves a line on each request that it cuts off, or an
+  /// operator would find none that tells what became of it.
+  void noteCutOff();
+
   void retire(caller_connection &Connection);
   /// Keeps an exchange whose caller has gone until it is over.
   void adopt(std::unique_ptr<exchange> Exchange);
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -80,19 +80,18 @@
   HasAnswerHead = false;
   ServerDidNotRun = false;
   beginAttempt(Node.Steering, Plan, Chosen, AttemptBegan);
+  Attempts.push_back({Chosen.Entry.Id, AttemptBegan, {}, {}});
   Connection = Pool.take(Chosen, Plan.Class);
-  Node.Log.write(
-      log_kind::Attempt, "sent",
-      {{"request", Request.Id},
-       {"server", Chosen.Entry.Id},
-       {"region", Chosen.Region},
-       {"load", estimatedLoad(Chosen, AttemptBegan)},
-       {"kept_connection", Connection != nullptr},
-       {"version",
-        static_cast<std::int64_t>(Node.Steering.Routes->Configuration.Version)},
-       {"left_us",
-        static_cast<std::int64_t>((Plan.Deadline - AttemptBegan).count())}},
-      AttemptBegan);
+  Node.Log.write(log_kind::Attempt, "sent",
+                 {{"request", Request.Id},
+                  {"server", Chosen.Entry.Id},
+                  {"region", Chosen.Region},
+                  {"load", estimatedLoad(Chosen, AttemptBegan)},
+                  {"kept_connection", Connection != nullptr},
+                  {"version", configurationVersion(Node)},
+                  {"left_us", static_cast<std::int64_t>(
+                                  (Plan.Deadline - AttemptBegan).count())}},
+                 AttemptBegan);
   if (!Connection) {
     Connection = Pool.open(Chosen);
     if (!Connection) {
@@ -112,8 +111,10 @@
 void exchange::endAttempt(attempt_result Result) {
   if (!Target)
     return;
-  noteResult(Node.Steering.Targets, *Target, Result,
-             Node.Loop.now() - AttemptBegan, Node.Loop.now());
+  const duration Took = Node.Loop.now() - AttemptBegan;
+  noteResult(Node.Steering.Targets, *Target, Result, Took, Node.Loop.now());
+  Attempts.back().Took = Took;
+  Attempts.back().Ended = toString(Result);
   Target = nullptr;
 }
 
@@ -292,22 +293,4 @@
     OnOver();
 }
 
-void exchange::log(log_kind Kind, std::string_view Event, std::string_view Why,
-                   int WithStatus) {
-  const instant Now = Node.Loop.now();
-  Node.Log.write(
-      Kind, Event,
-      {{"request", Request.Id},
-       {"service", Plan.Service},
-       {"why", Why},
-       {"status", static_cast<std::int64_t>(WithStatus)},
-       {"attempts", static_cast<std::int64_t>(Plan.Attempts)},
-       {"last_server", Plan.Tried.empty()
-                           ? std::string_view()
-                           : std::string_view(Plan.Tried.back())},
-       {"took_us", static_cast<std::int64_t>((Now - Request.Arrived).count())},
-       {"left_us", static_cast<std::int64_t>((Plan.Deadline - Now).count())}},
-      Now);
-}
-
 } // namespace amaranthhoist
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -7,6 +7,7 @@
 #include "node.h"
 #include "target_pool.h"
 
+#include <absl/container/inlined_vector.h>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
   virtual void cutShort() = 0;
 };
 
+/// How an attempt ended, in logs.
+std::string_view toString(attempt_result Result);
+
 class exchange : public retirable, private call_owner {
 public:
   exchange(node &Node, target_pool &Pool, exchange_caller &Caller,
@@ -65,6 +69,8 @@
   void goOnAlone(std::function<void()> OnOver);
   /// The caller has taken what waited for it.
   void callerDrained();
+  /// The process ends before the request does; leaves a last line on it.
+  void noteCutOff();
 
 private:
   bool onHead(const message_head &Head) override;
@@ -91,6 +97,11 @@
   void over();
   void log(log_kind Kind, std::string_view Event, std::string_view Why,
            int Status);
+  void logRefusal(std::string_view Why, int Status, duration RetryAfter);
+  /// All attempts as text: server, when it was sent, how it ended, after how
+  /// long. Stands in the final line of a request, whose own lines for each
+  /// attempt are sampled.
+  std::string describeAttempts() const;
 
   node &Node;
   target_pool &Pool;
@@ -102,6 +113,15 @@
   timer_id ConnectTimer = 0;
   std::function<void()> OnOver;
 
+  struct attempt_record {
+    std::string Server;
+    instant Began{};
+    duration Took{};
+    /// As in the log; empty while it is under way.
+    std::string_view Ended;
+  };
+  absl::InlinedVector<attempt_record, 2> Attempts;
+
   // The attempt under way.
   target *Target = nullptr;
   std::unique_ptr<client_connection> Connection;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -120,8 +120,10 @@
 
 void exchange::answerOwn(int OwnStatus, std::optional<duration> RetryAfter,
                          std::string_view Why) {
-  log(log_kind::Trouble, OwnStatus == 503 ? "refused" : "gave_up", Why,
-      OwnStatus);
+  if (OwnStatus == 503)
+    logRefusal(Why, OwnStatus, RetryAfter.value_or(duration::zero()));
+  else
+    log(log_kind::Trouble, "gave_up", Why, OwnStatus);
   Node.Metrics.observeLatency({Request.Host, Plan.Service, std::string(Why)},
                               Node.Loop.now() - Request.Arrived);
   if (Caller) {
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -7,6 +7,7 @@
 #include "names.h"
 #include "node.h"
 #include "peer_link.h"
+#include "status.h"
 #include "store_sync.h"
 #include "target_pool.h"
 
@@ -71,8 +72,7 @@
     TRY(Readiness.listen(TRY(parseEndpoint(Settings.Listen.Readiness))));
     TRY(Peers.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
     TRY(PeerServer.listen(TRY(parseEndpoint(Settings.Listen.Control))));
-    if (!Settings.Listen.Metrics.empty())
-      TRY(MetricsServer.listen(TRY(parseEndpoint(Settings.Listen.Metrics))));
+    listenForMetrics();
     TRY(watchSignals());
     Store.start();
     Node.Loop.atEndOfRound([this] { Node.Fleet.OwnIsReady = Node.isReady(); });
@@ -90,6 +90,20 @@
   }
 
 private:
+  /// A node whose metrics can't be read still serves callers.
+  void listenForMetrics() {
+    const std::string &Address = Node.Settings.Listen.Metrics;
+    if (Address.empty())
+      return;
+    const auto Endpoint = parseEndpoint(Address);
+    const auto Listening = Endpoint ? MetricsServer.listen(*Endpoint)
+                                    : tl::unexpected(Endpoint.error());
+    if (!Listening)
+      Node.Log.write(log_kind::Process, "no_metrics",
+                     {{"address", Address}, {"why", Listening.error().Message}},
+                     Node.Loop.now());
+  }
+
   small_answer lookUp(std::string_view Path, std::string_view Query) {
     if (Path != platform::LookupPath)
       return {404, "application/json", "{}"};
@@ -110,6 +124,8 @@
   }
 
   small_answer answerPeer(std::string_view Path, std::string_view Query) const {
+    if (Path == "/v1/status")
+      return {200, "application/json", encodeStatus(Node, Store)};
     if (Path != "/v1/changes")
       return {404, "application/json", "{}"};
     return {200, "application/octet-stream", Store.answerPeer(Query)};
@@ -180,6 +196,7 @@
     const bool IsOver = Passed >= ShortestLeave && !Callers.isBusy();
     if (IsOver || Passed >= Grace - EndMargin) {
       Callers.stopListening();
+      Callers.noteCutOff();
       Node.Loop.stop();
       return;
     }
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -20,6 +20,11 @@
   Steering.Instances = {stableHash(Settings.Instance)};
 }
 
+std::int64_t configurationVersion(const node &Node) {
+  const auto &Routes = Node.Steering.Routes;
+  return Routes ? static_cast<std::int64_t>(Routes->Configuration.Version) : 0;
+}
+
 void retireConnection(node &Node,
                       std::unique_ptr<client_connection> &Connection) {
   struct retired_connection : retirable {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -10,6 +10,7 @@
 #include "NodeSettings/node_settings.h"
 #include "Steering/steering.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -45,6 +46,9 @@
 
 struct node;
 
+/// The version of the configuration in force; 0: none yet.
+std::int64_t configurationVersion(const node &Node);
+
 /// Closes a connection, if there is one, and destroys it after the present
 /// round of events.
 void retireConnection(node &Node,
--- a/Services/Node/relay_link.h
+++ b/Services/Node/relay_link.h
@@ -23,6 +23,9 @@
   /// When the state that was last taken over was fresh at the store.
   [[nodiscard]] instant freshAt() const { return FreshAt; }
 
+  /// The instance that is asked; empty: none yet.
+  [[nodiscard]] const std::string &sourceName() const { return SourceName; }
+
   /// The body for an instance that asks with \p Query.
   std::string answer(std::string_view Query) const;
 
--- /dev/null
+++ b/Services/Node/status.cpp
@@ -0,0 +1,58 @@
+#include "status.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace amaranthhoist {
+
+using ordered_json = nlohmann::ordered_json;
+
+static std::int64_t inMilliseconds(duration Time) {
+  return Time.count() / 1'000;
+}
+
+static std::string stateOf(const target_directory &Directory,
+                           const target &Target, instant Now) {
+  if (Target.Entry.IsLeaving)
+    return "leaving";
+  if (Directory.EvacuatedDomains.contains(Target.Entry.FailureDomain))
+    return "evacuated";
+  if (Target.EjectionTime > duration::zero())
+    return "ejected";
+  if (Target.IsMissing)
+    return "missing_from_list";
+  return Now < Target.ColdUntil ? "cold" : "ready";
+}
+
+std::string encodeStatus(const node &Node, const store_sync &Store) {
+  const instant Now = Node.Loop.now();
+  const target_directory &Directory = Node.Steering.Targets;
+  std::map<std::string, std::map<std::string, int>> States;
+  std::int64_t Usable = 0;
+  for (const auto &[Id, Target] : Directory.ById) {
+    ++States[Target->Entry.Service][stateOf(Directory, *Target, Now)];
+    Usable += isUsable(Directory, *Target, Now) ? 1 : 0;
+  }
+  const auto &Down = downMembers(Node.Fleet.Membership);
+  const store_view View = Store.view();
+  return ordered_json{
+      {"instance", Node.Settings.Instance},
+      {"ready", Node.isReady()},
+      {"leaving", Node.IsLeaving},
+      {"version", configurationVersion(Node)},
+      {"version_age_ms", inMilliseconds(View.ConfigurationAge)},
+      {"learns_from", View.LearnsFrom},
+      {"state_age_ms", inMilliseconds(View.Age)},
+      {"store_silent", View.StoreIsSilent},
+      {"list_sure", View.ListIsSure},
+      {"servers", Directory.ById.size()},
+      {"servers_usable", Usable},
+      {"services", States},
+      {"evacuated", std::vector<std::string>(Directory.EvacuatedDomains.begin(),
+                                             Directory.EvacuatedDomains.end())},
+      {"peers", Node.Fleet.Members.size()},
+      {"peers_down", Down.size()}}
+      .dump();
+}
+
+} // namespace amaranthhoist
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -52,6 +52,11 @@
   return Now - std::max(AnsweredAt, Relay.freshAt());
 }
 
+store_view store_sync::view() const {
+  return {IsDirect ? "store" : Relay.sourceName(), age(),
+          Beliefs.configurationAge(), HadSilence, Beliefs.listIsSure()};
+}
+
 void store_sync::decide() {
   const instant Now = Node.Loop.now();
   const bool KnowsAll = Beliefs.knowsAll();
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -14,6 +14,18 @@
 
 namespace amaranthhoist {
 
+/// What operators are told of the node's link to the store.
+struct store_view {
+  /// "store", or the name of the instance that is asked.
+  std::string LearnsFrom;
+  /// How long ago the state was fresh at the store, at best.
+  duration Age{};
+  /// Since the configuration in force was applied; zero: none yet.
+  duration ConfigurationAge{};
+  bool StoreIsSilent = false;
+  bool ListIsSure = false;
+};
+
 class store_sync {
 public:
   explicit store_sync(node &Node);
@@ -23,6 +35,7 @@
   std::string answerPeer(std::string_view Query) const {
     return Relay.answer(Query);
   }
+  [[nodiscard]] store_view view() const;
 
 private:
   void decide();
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -88,14 +89,15 @@
              {"warmup_remaining", "0ms"}});
 }
 
-static json makeRoute(const char *Prefix, const char *Kind) {
+static json makeRoute(const char *Prefix, const char *Kind,
+                      const char *Timeout = "4000ms") {
   return {{"resource_kind", "routes"},
           {"metadata", {{"name", Prefix}}},
           {"specification",
            {{"hostname", "shop.example"},
             {"path_prefix", Prefix},
             {"kind", Kind},
-            {"timeout", "4000ms"},
+            {"timeout", Timeout},
             {"latency_objective", "500ms"},
             {"priority", 1},
             {"service", "desk"},
@@ -109,6 +111,7 @@
   json Resources = {
       makeRoute("/safe/", "safe"),
       makeRoute("/once/", "unsafe"),
+      makeRoute("/slow/", "unsafe", "60s"),
       {{"resource_kind", "services"},
        {"metadata", {{"name", "desk"}}},
        {"specification",
@@ -155,9 +158,19 @@
   return File;
 }
 
+std::string node_fleet::logFile(const node_process &Node) const {
+  return cat(Folder, "/", Node.Name, ".log");
+}
+
+std::string node_fleet::logOf(const node_process &Node) const {
+  std::stringstream Text;
+  Text << std::ifstream(logFile(Node)).rdbuf();
+  return Text.str();
+}
+
 void node_fleet::start(node_process &Node) {
   const std::string File = writeSettings(Node);
-  const std::string Log = cat(Folder, "/", Node.Name, ".log");
+  const std::string Log = logFile(Node);
   Node.Process = fork();
   if (Node.Process != 0)
     return;
@@ -230,7 +243,7 @@
   std::string Request =
       cat(Method, " ", Path, " HTTP/1.1\r\nHost: shop.example\r\n",
           "X-Attempt-Id: ", Id, "\r\nX-Affinity-Key: ", Id,
-          "\r\nX-Deadline-Remaining: 3000\r\n");
+          "\r\nX-Deadline-Remaining: ", DeadlineMs, "\r\n");
   if (!Body.empty())
     append(Request, "Content-Length: ", Body.size(), "\r\n");
   append(Request, "\r\n", Body);
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -72,6 +72,8 @@
   store_stand_in Store{Loop};
   std::map<std::string, std::unique_ptr<target_stand_in>> Targets;
   std::vector<std::unique_ptr<node_process>> Nodes;
+  /// How long callers wait, milliseconds.
+  int DeadlineMs = 3'000;
 
   /// A backend server of service "desk", listed in the store.
   target_stand_in &addTarget(const std::string &Id,
@@ -79,7 +81,8 @@
                              const std::string &State = "ready");
   void listTarget(const target_stand_in &Target, const std::string &Domain,
                   const std::string &State);
-  /// Routes /safe/ and /once/ to the service, and /extra/ if \p HasExtra.
+  /// Routes /safe/, /once/ and /slow/ (as /once/, with a minute's time) to the
+  /// service, and /extra/ if \p HasExtra.
   void putConfiguration(int Version, bool HasExtra = false);
   node_process &addNode(const std::string &Name, const std::string &Domain,
                         const std::string &Region);
@@ -93,6 +96,8 @@
   bool runUntil(const std::function<bool()> &Done,
                 duration Time = std::chrono::seconds(60));
   void runFor(duration Time);
+  /// What the node has logged so far.
+  std::string logOf(const node_process &Node) const;
   bool waitReady(node_process &Node);
 
   std::unique_ptr<caller_call> get(node_process &Node, std::string_view Path,
@@ -106,6 +111,7 @@
   caller_answer askSmall(const std::string &Address, std::string_view Path);
 
 private:
+  std::string logFile(const node_process &Node) const;
   std::string writeSettings(const node_process &Node) const;
   std::string Program;
   std::string Folder;
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -2,53 +2,16 @@
 // scripted store. No verdict depends on how long anything takes.
 
 #include "node_fleet.h"
+#include "small_fleet.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <csignal>
-#include <cstdlib>
 
 using namespace amaranthhoist;
 using behavior = target_stand_in::behavior;
 
-namespace {
-
-std::string nodeProgram() {
-  const char *Path = std::getenv("AMARANTHHOIST_NODE");
-  return Path ? Path : NODE_PROGRAM;
-}
-
-int runsOf(const node_fleet &Fleet, const std::string &Id) {
-  int Runs = 0;
-  for (const auto &[Name, Target] : Fleet.Targets) {
-    auto Found = Target->Runs.find(Id);
-    Runs += Found == Target->Runs.end() ? 0 : Found->second;
-  }
-  return Runs;
-}
-
-/// Two servers, one node, ready.
-struct small_fleet : node_fleet {
-  small_fleet() : node_fleet(nodeProgram()) {
-    putConfiguration(1);
-    addTarget("s1");
-    addTarget("s2");
-    Node = &addNode("n1", "a1", "a");
-    start(*Node);
-    IsReady = waitReady(*Node) &&
-              runUntil([&] { return Store.has("instances", "n1"); });
-  }
-  void setAll(behavior Behavior) {
-    for (auto &[Id, Target] : Targets)
-      Target->Behavior = Behavior;
-  }
-  node_process *Node = nullptr;
-  bool IsReady = false;
-};
-
-} // namespace
-
 // clang-format off
 TEST_GROUP(NodeProcess) {};
 // clang-format on
--- a/Utilities/amaranthhoist/context.h
+++ b/Utilities/amaranthhoist/context.h
@@ -28,6 +28,8 @@
   std::int64_t Base = -1;
   /// Do it though it doesn't fit.
   bool Force = false;
+  /// Log files to read; none: standard input.
+  std::vector<std::string> Logs;
 };
 
 /// One row of a table, by column.
@@ -96,5 +98,9 @@
 result<bool> runInstance(command_context &Context);
 result<bool> runExplain(command_context &Context);
 result<bool> runSettings(command_context &Context);
+result<bool> runStatus(command_context &Context);
+
+/// Tells the story of the request that Context names, from logs.
+result<bool> explainRequest(const command_context &Context);
 
 } // namespace amaranthhoist
--- a/Utilities/amaranthhoist/fleet_commands.cpp
+++ b/Utilities/amaranthhoist/fleet_commands.cpp
@@ -1,7 +1,5 @@
 #include "context.h"
 
-#include "Settings/settings.h"
-
 #include <iostream>
 #include <map>
 
@@ -292,8 +290,11 @@
 }
 
 result<bool> runExplain(command_context &Context) {
+  if (Context.Words.size() == 1)
+    return explainRequest(Context);
   if (Context.Words.size() != 2)
-    return fail(error_code::Invalid, "usage: explain CUSTOMER SERVICE");
+    return fail(error_code::Invalid,
+                "usage: explain REQUEST, or explain CUSTOMER SERVICE");
   fleet_client Fleet(Context.Controls);
   for (const auto &Entry : TRY(Fleet.members(kinds::Entry))) {
     http_client Client;
@@ -313,12 +314,4 @@
   return fail(error_code::Unavailable, "no entry answers");
 }
 
-result<bool> runSettings(command_context &Context) {
-  if (Context.Words.size() != 2 || Context.Words[0] != "check")
-    return fail(error_code::Invalid, "usage: settings check FILE");
-  TRY(loadSettings(Context.Words[1]));
-  std::cout << Context.Words[1] << ": no faults\n";
-  return true;
-}
-
 } // namespace amaranthhoist
--- a/Utilities/amaranthhoist/main.cpp
+++ b/Utilities/amaranthhoist/main.cpp
@@ -15,7 +15,7 @@
       Commands = {{"contract", runContract}, {"drain", runDrain},
                   {"site", runSite},         {"target", runTarget},
                   {"instance", runInstance}, {"explain", runExplain},
-                  {"settings", runSettings}};
+                  {"settings", runSettings}, {"status", runStatus}};
   return Commands;
 }
 
@@ -27,8 +27,11 @@
   drain status | drain cancel target|site|instance NAME
   site status | site apply FILE | target apply FILE
   instance status
-  explain CUSTOMER SERVICE
-  settings check FILE
+  status                       what nodes believe, and how old it is
+  explain REQUEST [--log FILE,...]
+                               from nodes' logs: a request's story and cause
+  explain CUSTOMER SERVICE     where a request would go, and why
+  settings check FILE          of a node, or of the three daemons
 
 Exit codes: 0 done, 1 failed, 2 wrong usage or a faulty file.
 )";
@@ -50,7 +53,9 @@
       "base", "version that the change is based on",
       cxxopts::value<std::int64_t>()->default_value("-1"))(
       "force", "start a drain that doesn't fit")(
-      "version", "print the version")("h,help", "print this help")(
+      "log", "logs to read, comma between; none: standard input",
+      cxxopts::value<std::vector<std::string>>(),
+      "FILES")("version", "print the version")("h,help", "print this help")(
       "words", "", cxxopts::value<std::vector<std::string>>());
   Options.parse_positional({"words"});
   Options.positional_help("COMMAND ...");
@@ -65,6 +70,8 @@
   Context.WaitMs = Parsed["wait-ms"].as<std::int64_t>();
   Context.Base = Parsed["base"].as<std::int64_t>();
   Context.Force = Parsed.count("force") != 0;
+  if (Parsed.count("log") != 0)
+    Context.Logs = Parsed["log"].as<std::vector<std::string>>();
   if (Parsed["output"].as<std::string>() == "json")
     Context.Output = output_format::Json;
   if (Parsed.count("words") != 0)
