Fleet: look-ups follow capacity; nodes that can't serve are not named

Logs: nodes that had started again answered probes and were named in look-ups though they knew no configuration; they asked only the three seeds, as new as they were; and all unreachable servers were seen by nodes with 10 Mbit/s links (up to 381 each in 5 s, none at the 200 Mbit/s nodes beside them). Change: a node is silent towards peers until it can serve; datagrams carry the sender's control address, which such a node asks; look-ups draw by capacity, the least of processor and link, where capacities differ. Ruled out: servers at fault (515 of them 'unreachable', all from small nodes). Both new process tests fail on the code before (60 s, verdict by outcome). Tests: a run whose time passed inside a nested run went on for ever; mended.

--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -10,34 +10,103 @@
 /// look-up.
 static constexpr std::size_t LeastInDomain = 2;
 
+/// What one request costs the instance that passes it on, by the two users'
+/// traffic: 0.23 ms of processor time as measured, and answers of 7 and 12 KB
+/// on average.
+static constexpr double ProcessorSecondsPerRequest = 0.000'25;
+static constexpr double BitsPerRequest = 80'000;
+/// Instances whose capacities differ by less are taken for equal, and all
+/// named.
+static constexpr double EqualWithin = 1.5;
+/// Addresses drawn for one answer where capacities differ. The fewer, the
+/// closer callers keep to the capacities; but a caller whose instances have all
+/// failed waits for another look-up.
+static constexpr std::size_t Draws = 4;
+static constexpr std::size_t LeastDistinct = 3;
+/// Sources that are remembered: a few of those that are heard first.
+static constexpr std::size_t MostSources = 8;
+
+using members = std::vector<const fleet_member *>;
+
+double capacityOf(const fleet_member &Member) {
+  return std::min(Member.Processor / ProcessorSecondsPerRequest,
+                  Member.LinkMbps * 1e6 / BitsPerRequest);
+}
+
 template <typename Predicate>
-static std::vector<std::string> addressesWhere(const fleet &Fleet,
-                                               Predicate Wanted) {
-  std::vector<std::string> Addresses;
+static members upWhere(const fleet &Fleet, Predicate Wanted) {
+  members Members;
   if (Fleet.OwnIsReady && Wanted(Fleet.Own))
-    Addresses.push_back(Fleet.Own.Ingress);
+    Members.push_back(&Fleet.Own);
   for (const auto &[Name, Member] : Fleet.Members)
     if (Wanted(Member) && isUp(Fleet.Membership, Name))
-      Addresses.push_back(Member.Ingress);
-  if (Addresses.size() > MaxAddresses)
-    Addresses.resize(MaxAddresses);
-  return Addresses;
+      Members.push_back(&Member);
+  return Members;
 }
 
-std::vector<std::string> addressesFor(const fleet &Fleet,
-                                      std::string_view FailureDomain,
-                                      std::string_view Region) {
-  auto Nearest = addressesWhere(Fleet, [&](const fleet_member &Member) {
+static members candidatesFor(const fleet &Fleet, std::string_view FailureDomain,
+                             std::string_view Region) {
+  members Nearest = upWhere(Fleet, [&](const fleet_member &Member) {
     return Member.FailureDomain == FailureDomain;
   });
   if (Nearest.size() >= LeastInDomain)
     return Nearest;
-  auto Near = addressesWhere(Fleet, [&](const fleet_member &Member) {
+  members Near = upWhere(Fleet, [&](const fleet_member &Member) {
     return Member.Region == Region;
   });
   if (!Near.empty())
     return Near;
-  return addressesWhere(Fleet, [](const fleet_member &) { return true; });
+  return upWhere(Fleet, [](const fleet_member &) { return true; });
+}
+
+/// Draws by capacity, with replacement: so the share of answers in which an
+/// instance stands, and with it its share of callers, follows its capacity.
+static members drawByCapacity(const members &Candidates,
+                              std::mt19937_64 &Random) {
+  std::vector<double> Capacities;
+  for (const fleet_member *Member : Candidates)
+    Capacities.push_back(capacityOf(*Member));
+  std::discrete_distribution<std::size_t> Draw(Capacities.begin(),
+                                               Capacities.end());
+  std::set<std::size_t> Drawn;
+  for (std::size_t Index = 0; Index < Draws; ++Index)
+    Drawn.insert(Draw(Random));
+  while (Drawn.size() < LeastDistinct)
+    Drawn.insert(Draw(Random));
+  members Chosen;
+  for (std::size_t Index : Drawn)
+    Chosen.push_back(Candidates[Index]);
+  return Chosen;
+}
+
+static bool areAlike(const members &Members) {
+  const auto [Least, Most] = std::minmax_element(
+      Members.begin(), Members.end(),
+      [](const fleet_member *Left, const fleet_member *Right) {
+        return capacityOf(*Left) < capacityOf(*Right);
+      });
+  return capacityOf(**Most) < EqualWithin * capacityOf(**Least);
+}
+
+std::vector<std::string> addressesFor(fleet &Fleet,
+                                      std::string_view FailureDomain,
+                                      std::string_view Region) {
+  members Members = candidatesFor(Fleet, FailureDomain, Region);
+  if (Members.size() > LeastDistinct && !areAlike(Members))
+    Members = drawByCapacity(Members, Fleet.Random);
+  if (Members.size() > MaxAddresses)
+    Members.resize(MaxAddresses);
+  std::vector<std::string> Addresses;
+  for (const fleet_member *Member : Members)
+    Addresses.push_back(Member->Ingress);
+  return Addresses;
+}
+
+void noteSource(fleet &Fleet, const std::string &Control) {
+  const bool IsKnown = std::find(Fleet.Sources.begin(), Fleet.Sources.end(),
+                                 Control) != Fleet.Sources.end();
+  if (!Control.empty() && !IsKnown && Fleet.Sources.size() < MostSources)
+    Fleet.Sources.push_back(Control);
 }
 
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members) {
--- a/Libraries/Fleet/fleet.h
+++ b/Libraries/Fleet/fleet.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <map>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,8 +25,10 @@
   std::string Peer;
   /// `ip:port` for instances that ask for the store's objects.
   std::string Control;
-  /// Share of a core, to weigh instances by.
+  /// Share of a core.
   double Processor = 1;
+  /// Bandwidth of its link, Mbit/s.
+  double LinkMbps = 1'000;
   bool operator==(const fleet_member &) const = default;
 };
 
@@ -37,18 +40,30 @@
   bool OwnIsReady = false;
   bool OwnIsLeaving = false;
   membership Membership;
+  /// Control addresses of instances that were heard of before the list of
+  /// instances was known.
+  std::vector<std::string> Sources;
+  /// Draws the addresses of look-ups.
+  std::mt19937_64 Random;
 };
 
 /// The most addresses in one answer.
 inline constexpr std::size_t MaxAddresses = 64;
 
+/// Requests a second that an instance can pass on, by its processor and link.
+double capacityOf(const fleet_member &Member);
+
 /// Addresses for callers in \p FailureDomain of \p Region: the instances that
 /// are up in their failure domain if there are some, else in their region, else
-/// anywhere.
-std::vector<std::string> addressesFor(const fleet &Fleet,
+/// anywhere. Callers pick one of them by chance, so that of instances of
+/// unequal capacity a few are drawn by it.
+std::vector<std::string> addressesFor(fleet &Fleet,
                                       std::string_view FailureDomain,
                                       std::string_view Region);
 
+/// Remembers an instance that could be asked for the store's objects.
+void noteSource(fleet &Fleet, const std::string &Control);
+
 /// Sets the known instances from the platform's store.
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members);
 
--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -37,6 +37,7 @@
                        std::vector<settings_fault> &Faults) {
   section_reader Reader(Node, "limits.", Faults);
   Reader.readReal("processor", Settings.Processor, 0.01, 1'024);
+  Reader.readReal("link_mbps", Settings.LinkMbps, 0.1, 1e6);
   Reader.readNumber("memory_mb", Settings.MemoryMb, 32, 1'048'576);
   Reader.readNumber("file_descriptors", Settings.FileDescriptors, 64,
                     10'000'000);
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -51,6 +51,8 @@
   std::vector<std::string> Seeds;
   /// Share of one core that this node may use.
   double Processor = 1;
+  /// Bandwidth of this node's link, Mbit/s.
+  double LinkMbps = 1'000;
   /// Memory that this node may use, in MB.
   std::int64_t MemoryMb = 256;
   /// File descriptors that this node may use.
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -16,6 +16,7 @@
   subject @2 :Text;
   onBehalfOf @3 :Text;
   beliefs @4 :List(Belief);
+  control @5 :Text;
 }
 
 struct ObjectChange {
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -51,7 +51,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -227,6 +227,9 @@
   inline bool hasBeliefs() const;
   inline  ::capnp::List< ::amaranthhoist::datagram::Belief,  ::capnp::Kind::STRUCT>::Reader getBeliefs() const;
 
+  inline bool hasControl() const;
+  inline  ::capnp::Text::Reader getControl() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -286,6 +289,13 @@
   inline void adoptBeliefs(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::Belief,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::Belief,  ::capnp::Kind::STRUCT>> disownBeliefs();
 
+  inline bool hasControl();
+  inline  ::capnp::Text::Builder getControl();
+  inline void setControl( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initControl(unsigned int size);
+  inline void adoptControl(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownControl();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -814,6 +824,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasControl() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasControl() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Datagram::Reader::getControl() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Datagram::Builder::getControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setControl( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Datagram::Builder::initControl(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptControl(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool ObjectChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -24,6 +24,7 @@
   capnp::MallocMessageBuilder Builder;
   auto Root = Builder.initRoot<datagram::Datagram>();
   Root.setSender(Datagram.Sender);
+  Root.setControl(Datagram.Control);
   Root.setKind(static_cast<std::uint8_t>(Datagram.Message.Kind));
   Root.setSubject(Datagram.Message.Subject);
   Root.setOnBehalfOf(Datagram.Message.OnBehalfOf);
@@ -44,6 +45,7 @@
   if (Kind > static_cast<unsigned>(membership_message::kind::PingFor))
     return std::nullopt;
   Datagram.Sender = Root.getSender().cStr();
+  Datagram.Control = Root.getControl().cStr();
   Datagram.Message.Kind = static_cast<membership_message::kind>(Kind);
   Datagram.Message.Subject = Root.getSubject().cStr();
   Datagram.Message.OnBehalfOf = Root.getOnBehalfOf().cStr();
--- a/Libraries/PeerMessages/peer_messages.h
+++ b/Libraries/PeerMessages/peer_messages.h
@@ -14,6 +14,9 @@
 /// A message of the membership protocol and who sent it.
 struct peer_datagram {
   std::string Sender;
+  /// Where the sender hands on the store's objects, `ip:port`. A node that was
+  /// just started and can't reach the store learns of its peers by this.
+  std::string Control;
   membership_message Message;
 };
 
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -66,7 +66,8 @@
     Node.Fleet.Own = {Settings.Instance,     Settings.FailureDomain,
                       Settings.Region,       Settings.Listen.Callers,
                       Settings.Listen.Peers, Settings.Listen.Control,
-                      Settings.Processor};
+                      Settings.Processor,    Settings.LinkMbps};
+    Node.Fleet.Random.seed(stableHash(Settings.Instance));
     TRY(Callers.listen(TRY(parseEndpoint(Settings.Listen.Callers))));
     TRY(Lookups.listen(TRY(parseEndpoint(Settings.Listen.Lookups))));
     TRY(Readiness.listen(TRY(parseEndpoint(Settings.Listen.Readiness))));
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -33,7 +33,8 @@
 }
 
 void peer_link::send(const membership_message &Message, const endpoint &To) {
-  const std::string Bytes = encodeDatagram({Node.Settings.Instance, Message});
+  const std::string Bytes = encodeDatagram(
+      {Node.Settings.Instance, Node.Settings.Listen.Control, Message});
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(To.Port);
@@ -72,6 +73,11 @@
   auto Datagram = decodeDatagram(Bytes);
   if (!Datagram || HasLeft)
     return;
+  if (!Node.isReady()) {
+    // Silence keeps it out of the others' look-ups until it can serve.
+    noteSource(Node.Fleet, Datagram->Control);
+    return;
+  }
   const auto Answers =
       handleMembershipMessage(Node.Fleet.Membership, Datagram->Sender,
                               Datagram->Message, Node.Loop.now());
@@ -85,7 +91,7 @@
 }
 
 void peer_link::tick() {
-  if (HasLeft)
+  if (HasLeft || !Node.isReady())
     return;
   sendAll(membershipTick(Node.Fleet.Membership, Node.Loop.now()));
   reportChanges();
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -75,9 +75,13 @@
                  Node.Loop.now());
 }
 
-/// Without a known peer only the settings tell of some.
+/// Without the list of instances there are those that sent a datagram, which
+/// know more than a node that has just started, and those in the settings,
+/// which may be as new as this one or gone.
 void relay_link::chooseSeed() {
-  std::vector<std::string> Seeds = Node.Settings.Seeds;
+  std::vector<std::string> Seeds = Node.Fleet.Sources;
+  Seeds.insert(Seeds.end(), Node.Settings.Seeds.begin(),
+               Node.Settings.Seeds.end());
   std::erase(Seeds, Node.Settings.Listen.Control);
   SourceName = Seeds.empty() ? "" : Seeds[Misses % Seeds.size()];
   if (!SourceName.empty())
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -142,7 +142,8 @@
 std::string node_fleet::writeSettings(const node_process &Node) const {
   std::string Seeds;
   for (const auto &Other : Nodes)
-    append(Seeds, Seeds.empty() ? "" : ",", Other->Control);
+    if (HasSeeds)
+      append(Seeds, Seeds.empty() ? "" : ",", Other->Control);
   std::string File = cat(Folder, "/", Node.Name, ".yaml");
   std::ofstream(File) << cat(
       "instance: ", Node.Name, "\nfailure_domain: ", Node.FailureDomain,
@@ -215,7 +216,11 @@
         Loop.stop();
       return;
     }
-    Check = Loop.after(CheckPeriod, Look);
+    // When the time passes within a nested run, that run is what stops.
+    if (IsOver)
+      Loop.stop();
+    else
+      Check = Loop.after(CheckPeriod, Look);
   };
   Look();
   IsRunning = true;
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -72,6 +72,8 @@
   store_stand_in Store{Loop};
   std::map<std::string, std::unique_ptr<target_stand_in>> Targets;
   std::vector<std::unique_ptr<node_process>> Nodes;
+  /// Whether settings name other nodes.
+  bool HasSeeds = true;
   /// How long callers wait, milliseconds.
   int DeadlineMs = 3'000;
 
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -248,6 +248,61 @@
   LONGS_EQUAL(200, Fleet.ask(Second, "/safe/x", "id-1").Status);
 }
 
+// Symptom: half of a fleet refuses everything for as long as the store is away.
+// Sequence: many instances lose power, the store goes down, they start again;
+// the few addresses in their settings belong to instances as new as they are.
+// Cause: asking nobody but those, though others send them probes all the while.
+TEST(NodeProcess, ANodeThatStartsWithoutStoreAndSeedsLearnsFromWhoProbesIt) {
+  small_fleet Fleet;
+  node_process &Second = Fleet.addNode("n2", "a2", "a");
+  Fleet.start(Second);
+  // The first one knows it, and will probe it.
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.logOf(*Fleet.Node).find("\"others\":1") != std::string::npos;
+  }));
+  Fleet.signal(Second, SIGKILL);
+  Fleet.Store.setMode(store_stand_in::mode::Refusing);
+  Fleet.HasSeeds = false;
+  Fleet.start(Second);
+  CHECK(Fleet.waitReady(Second));
+  LONGS_EQUAL(200, Fleet.ask(Second, "/safe/x", "id-1").Status);
+}
+
+// Symptom: callers are refused by instances that know no configuration yet.
+// Sequence: an instance starts again while the store is away; it answers its
+// peers' probes at once, and they name it in look-ups. Cause: taking a process
+// that runs for one that serves.
+TEST(NodeProcess, WhoeverIsNamedInLookUpsServes) {
+  small_fleet Fleet;
+  node_process &Second = Fleet.addNode("n2", "a1", "a");
+  Fleet.start(Second);
+  const auto isNamed = [&] {
+    return Fleet
+               .askSmall(Fleet.Node->Lookups,
+                         "/amaranthhoist/resolve?name=h&region=a&zone=a1")
+               .Body.find(Second.Callers) != std::string::npos;
+  };
+  CHECK(Fleet.runUntil(isNamed));
+  Fleet.signal(Second, SIGKILL);
+  CHECK(Fleet.runUntil([&] { return !isNamed(); }));
+  Fleet.Store.setMode(store_stand_in::mode::Refusing);
+  // Nobody tells the new process anything: its peer can't be reached at the
+  // address that its settings give.
+  Fleet.signal(*Fleet.Node, SIGSTOP);
+  Fleet.HasSeeds = false;
+  Fleet.start(Second);
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.askSmall(Second.Readiness, "/amaranthhoist/readiness")
+               .Status == 503;
+  }));
+  Fleet.signal(*Fleet.Node, SIGCONT);
+  CHECK(Fleet.runUntil([&] {
+    return isNamed() && Fleet.ask(Second, "/safe/x", "id-1").Status == 200;
+  }));
+  // From its first naming on it never refused for want of a configuration.
+  CHECK(Fleet.logOf(Second).find("not_configured") == std::string::npos);
+}
+
 // Symptom: nodes that don't ask the store themselves miss a change when the one
 // that they learn from dies. Cause: one source only.
 TEST(NodeProcess, ChangesArriveWhenASourceDies) {
--- a/Tests/fleet_test.cpp
+++ b/Tests/fleet_test.cpp
@@ -41,15 +41,60 @@
 // clang-format on
 
 TEST(Fleet, CallersAreSentToTheirFailureDomainIfItHasTwo) {
-  const fleet Fleet =
-      makeFleet({makeMember(1, "a1", "a"), makeMember(2, "a2", "a"),
-                 makeMember(3, "b1", "b")});
+  fleet Fleet = makeFleet({makeMember(1, "a1", "a"), makeMember(2, "a2", "a"),
+                           makeMember(3, "b1", "b")});
   LONGS_EQUAL(2, addressesFor(Fleet, "a1", "a").size());
   LONGS_EQUAL(3, addressesFor(Fleet, "a2", "a").size());
   LONGS_EQUAL(1, addressesFor(Fleet, "b1", "b").size());
   LONGS_EQUAL(4, addressesFor(Fleet, "c1", "c").size());
 }
 
+// Pattern: instances of unequal size, callers that pick an address by chance.
+// Symptom: instances with a slow link are choked (connections to servers take
+// over 250 ms and count as unreachable) while large ones idle. Cause: look-ups
+// that name all instances alike.
+TEST(Fleet, CallersFollowTheCapacityOfUnequalInstances) {
+  std::vector<fleet_member> Others;
+  for (int Number = 1; Number <= 10; ++Number) {
+    fleet_member Member = makeMember(Number, "a1", "a", 0.1);
+    Member.LinkMbps = 10;
+    Others.push_back(Member);
+  }
+  fleet Fleet = makeFleet(Others);
+  Fleet.Own.Processor = 0.5;
+  Fleet.Own.LinkMbps = 200;
+  Fleet.Random.seed(1);
+  double OwnShare = 0;
+  constexpr int Lookups = 5'000;
+  for (int Index = 0; Index < Lookups; ++Index) {
+    const auto Addresses = addressesFor(Fleet, "a1", "a");
+    // Whose instances fail has others to go to.
+    CHECK(Addresses.size() >= 3);
+    for (const std::string &Address : Addresses)
+      if (Address == "n0-call")
+        OwnShare += 1.0 / static_cast<double>(Addresses.size()) / Lookups;
+  }
+  // 62 % of the capacity; all alike it would get 9 %, drawn it gets 30 %.
+  CHECK(OwnShare > 0.25);
+}
+
+TEST(Fleet, InstancesOfEqualCapacityAreAllNamed) {
+  std::vector<fleet_member> Others;
+  for (int Number = 1; Number <= 10; ++Number)
+    Others.push_back(makeMember(Number, "a1", "a", 0.25));
+  fleet Fleet = makeFleet(Others);
+  LONGS_EQUAL(11, addressesFor(Fleet, "a1", "a").size());
+}
+
+TEST(Fleet, AFewSourcesAreRememberedOnce) {
+  fleet Fleet = makeFleet({});
+  for (int Round = 0; Round < 2; ++Round)
+    for (int Number = 0; Number < 50; ++Number)
+      noteSource(Fleet, "n" + std::to_string(Number));
+  noteSource(Fleet, "");
+  LONGS_EQUAL(8, Fleet.Sources.size());
+}
+
 // Symptom: callers lose a second at an instance that is long dead. Cause: a
 // look-up that names what the store lists, where nothing expires.
 TEST(Fleet, InstancesThatAreDownAreNotNamed) {
@@ -80,8 +125,7 @@
 // Symptom: a node that the store turns away works on with old state. Cause: a
 // region whose nodes share its cut have nobody else to ask.
 TEST(Fleet, OtherRegionsAreFurtherSources) {
-  const fleet Fleet =
-      makeFleet({makeMember(1, "a1", "a"), makeMember(2, "b1", "b")});
+  fleet Fleet = makeFleet({makeMember(1, "a1", "a"), makeMember(2, "b1", "b")});
   const auto Sources = furtherSources(Fleet);
   LONGS_EQUAL(2, Sources.size());
   CHECK_EQUAL(std::string("n2"), Sources[0]->Name);
