Soak: real nodes under faults drawn from a seed

Purpose: faults in series and overlapping from outside the processes, with the promises checked by what callers and servers saw. 28 kinds of fault; loopback proxies before the store and each server; callers keep connections until they end. The verdict is pure and a unit test plants one violation of each kind; it depends on no length of time but a minute to settle. Ruled out: clocks and disks (nodes use a steady clock only, and no disk).

--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -64,6 +64,8 @@
       kill(Node->Process, SIGKILL);
       waitpid(Node->Process, nullptr, 0);
     }
+  if (KeepsFolder)
+    return;
   std::error_code Ignored;
   std::filesystem::remove_all(Folder, Ignored);
 }
@@ -78,11 +80,11 @@
 }
 
 void node_fleet::listTarget(const target_stand_in &Target,
-                            const std::string &Domain,
-                            const std::string &State) {
+                            const std::string &Domain, const std::string &State,
+                            const std::string &Address) {
   Store.put("servers", Target.Id,
             {{"service", "desk"},
-             {"address", Target.address()},
+             {"address", Address.empty() ? Target.address() : Address},
              {"zone", Domain},
              {"slots", 4},
              {"state", State},
@@ -148,8 +150,9 @@
   std::ofstream(File) << cat(
       "instance: ", Node.Name, "\nfailure_domain: ", Node.FailureDomain,
       "\nregion: ", Node.Region,
-      "\nfailure_domains: {a1: a, a2: a, b1: b}\nstore: \"", Store.address(),
-      "\"\nseeds: [", Seeds, "]\nlisten:\n  callers: ", Node.Callers,
+      "\nfailure_domains: {a1: a, a2: a, b1: b}\nstore: \"",
+      Node.Store.empty() ? Store.address() : Node.Store, "\"\nseeds: [", Seeds,
+      "]\nlisten:\n  callers: ", Node.Callers,
       "\n  readiness: ", Node.Readiness, "\n  lookups: ", Node.Lookups,
       "\n  control: ", Node.Control, "\n  peers: ", Node.Peers,
       "\nlimits:\n  processor: 0.2\n  memory_mb: 260\n"
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -57,6 +57,8 @@
   std::string Lookups = freeAddress();
   std::string Control = freeAddress();
   std::string Peers = freeAddress();
+  /// Where it reaches the store; empty: the stand-in itself.
+  std::string Store;
   pid_t Process = 0;
 };
 
@@ -81,8 +83,9 @@
   target_stand_in &addTarget(const std::string &Id,
                              const std::string &Domain = "a1",
                              const std::string &State = "ready");
+  /// \p Address: where nodes reach it; empty: the stand-in itself.
   void listTarget(const target_stand_in &Target, const std::string &Domain,
-                  const std::string &State);
+                  const std::string &State, const std::string &Address = {});
   /// Routes /safe/, /once/ and /slow/ (as /once/, with a minute's time) to the
   /// service, and /extra/ if \p HasExtra.
   void putConfiguration(int Version, bool HasExtra = false);
@@ -90,6 +93,9 @@
                         const std::string &Region);
   void start(node_process &Node);
   void signal(node_process &Node, int Signal);
+  /// Keeps the folder with settings and logs.
+  void keepFolder() { KeepsFolder = true; }
+  [[nodiscard]] const std::string &folder() const { return Folder; }
   /// Whether the process has ended.
   bool hasEnded(node_process &Node);
 
@@ -117,6 +123,7 @@
   std::string writeSettings(const node_process &Node) const;
   std::string Program;
   std::string Folder;
+  bool KeepsFolder = false;
 };
 
 } // namespace amaranthhoist
--- /dev/null
+++ b/Tests/Soak/link_proxy.h
@@ -0,0 +1,55 @@
+/// A TCP proxy on loopback that stands for a link: it passes bytes on, delays
+/// them, holds them back in one direction or both, or resets connections.
+#pragma once
+
+#include "EventLoop/socket.h"
+#include "EventLoop/stream.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranthhoist {
+
+enum class link_mode : std::uint8_t {
+  Sound,
+  /// Bytes come late, in order.
+  Delayed,
+  /// Nothing passes; it does once the link is sound again.
+  Silent,
+  /// Only what goes towards the server passes.
+  OneWay,
+};
+
+class proxied_connection;
+
+class link_proxy : private io_handler {
+public:
+  /// Passes on to \p Server, `ip:port`.
+  link_proxy(event_loop &Loop, std::string Server);
+  ~link_proxy() override;
+  link_proxy(const link_proxy &) = delete;
+  link_proxy &operator=(const link_proxy &) = delete;
+
+  [[nodiscard]] const std::string &address() const { return Address; }
+  void setMode(link_mode NewMode);
+  /// Resets all connections; new ones work.
+  void resetAll();
+
+private:
+  friend class proxied_connection;
+  void onEvent(const io_event &Event) override;
+  void retire(proxied_connection &Connection);
+
+  event_loop &Loop;
+  std::string Server;
+  std::string Address;
+  link_mode Mode = link_mode::Sound;
+  int Listener = -1;
+  std::map<proxied_connection *, std::unique_ptr<proxied_connection>>
+      Connections;
+  std::vector<std::unique_ptr<proxied_connection>> Retired;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/Soak/soak_caller.cpp
@@ -0,0 +1,102 @@
+#include "soak_caller.h"
+
+#include "Text/text.h"
+
+namespace amaranthhoist {
+
+static constexpr duration Deadline = std::chrono::milliseconds(3'000);
+/// A caller gives up this long after its deadline: its node may be paused.
+static constexpr duration GivesUpAfter = Deadline + std::chrono::seconds(1);
+static constexpr int LongestPauseMs = 40;
+/// One in so many callers' requests is sent by leaving before the answer.
+static constexpr std::uint64_t LeavesOneIn = 40;
+
+soak_caller::soak_caller(event_loop &Loop, std::string Name, std::uint64_t Seed,
+                         std::function<std::string()> ChooseNode)
+    : Loop(Loop), Name(std::move(Name)), Random(Seed),
+      ChooseNode(std::move(ChooseNode)) {
+  Loop.atEndOfRound([this] { Retired.clear(); });
+}
+
+soak_caller::~soak_caller() { Loop.cancel(Timer); }
+
+void soak_caller::start() {
+  Timer = Loop.after(std::chrono::milliseconds(Random() % LongestPauseMs),
+                     [this] { send(); });
+}
+
+void soak_caller::dropConnection() {
+  if (!Connection)
+    return;
+  Connection->close();
+  Retired.push_back(std::move(Connection));
+}
+
+void soak_caller::send() {
+  Timer = 0;
+  if (IsStopping)
+    return;
+  attempt_seen Attempt;
+  Attempt.Id = cat(Name, "-", Attempts.size());
+  Attempt.IsIdempotent = Random() % 2 == 0;
+  Attempts.push_back(Attempt);
+  Current = true;
+  if (!Connection || !Connection->isOpen()) {
+    dropConnection();
+    const auto Endpoint = parseEndpoint(ChooseNode());
+    Connection = std::make_unique<client_connection>(Loop);
+    if (!Connection->connect(*Endpoint, std::chrono::seconds(60))) {
+      end();
+      return;
+    }
+  }
+  const bool Leaves = Random() % LeavesOneIn == 0;
+  Timer = Loop.after(Leaves ? Deadline / 30 : GivesUpAfter, [this] {
+    Timer = 0;
+    Attempts.back().Status = 0;
+    dropConnection();
+    end();
+  });
+  Connection->call(
+      *this,
+      cat(Attempt.IsIdempotent ? "GET /safe/x" : "POST /once/x",
+          " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: ", Attempt.Id,
+          "\r\nX-Affinity-Key: ", Random() % 50,
+          "\r\nX-Deadline-Remaining: ", Deadline.count() / 1'000,
+          Attempt.IsIdempotent ? "\r\n\r\n"
+                               : "\r\nContent-Length: 4\r\n\r\nbody"),
+      /*IsHead=*/false);
+}
+
+bool soak_caller::onHead(const message_head &Head) {
+  Attempts.back().Status = Head.status();
+  Attempts.back().HasSignature = Head.find("X-Response-Stamp").has_value();
+  return true;
+}
+
+void soak_caller::onBody(std::string &Body) {
+  Attempts.back().Body.append(Body);
+  Body.clear();
+}
+
+void soak_caller::onComplete() {
+  if (!Connection->isReusable())
+    dropConnection();
+  end();
+}
+
+void soak_caller::onFailure(const call_failure & /*Failure*/) {
+  Attempts.back().Status = 0;
+  dropConnection();
+  end();
+}
+
+void soak_caller::end() {
+  Loop.cancel(Timer);
+  Attempts.back().IsOver = true;
+  Current = false;
+  Timer = Loop.after(std::chrono::milliseconds(Random() % LongestPauseMs),
+                     [this] { send(); });
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/Soak/soak_caller.h
@@ -0,0 +1,63 @@
+/// A caller that sends one request after the other over a connection that it
+/// keeps until it ends, and remembers what it was told.
+#pragma once
+
+#include "HttpConnection/client_connection.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace amaranthhoist {
+
+/// One attempt, as its caller saw it.
+struct attempt_seen {
+  std::string Id;
+  bool IsIdempotent = true;
+  /// 0: no whole answer.
+  int Status = 0;
+  bool HasSignature = false;
+  std::string Body;
+  bool IsOver = false;
+};
+
+class soak_caller : private call_owner {
+public:
+  /// \p ChooseNode gives the address for a new connection.
+  soak_caller(event_loop &Loop, std::string Name, std::uint64_t Seed,
+              std::function<std::string()> ChooseNode);
+  ~soak_caller() override;
+
+  void start();
+  /// Sends nothing more; the attempt under way goes on.
+  void stop() { IsStopping = true; }
+  [[nodiscard]] bool isIdle() const { return !Current; }
+  [[nodiscard]] const std::vector<attempt_seen> &attempts() const {
+    return Attempts;
+  }
+
+private:
+  bool onHead(const message_head &Head) override;
+  void onBody(std::string &Body) override;
+  void onComplete() override;
+  void onFailure(const call_failure &Failure) override;
+
+  void send();
+  void end();
+  void dropConnection();
+
+  event_loop &Loop;
+  std::string Name;
+  std::mt19937_64 Random;
+  std::function<std::string()> ChooseNode;
+  std::unique_ptr<client_connection> Connection;
+  std::vector<std::unique_ptr<client_connection>> Retired;
+  std::vector<attempt_seen> Attempts;
+  timer_id Timer = 0;
+  bool Current = false;
+  bool IsStopping = false;
+};
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Tests/Soak/soak_run.cpp
@@ -0,0 +1,320 @@
+#include "soak_run.h"
+
+#include "Text/text.h"
+#include "verdict.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+
+namespace amaranthhoist {
+
+using behavior = target_stand_in::behavior;
+
+static constexpr std::array<const char *, 3> Domains = {"a1", "a2", "b1"};
+/// Time without faults at the end of each run before callers stop.
+static constexpr duration CalmTime = std::chrono::milliseconds(1'500);
+static constexpr duration SlowWork = std::chrono::milliseconds(600);
+
+soak_run::soak_run(std::string Program, std::uint64_t Seed,
+                   const soak_size &Size)
+    : Random(Seed), Fleet(std::move(Program)) {
+  build(Size);
+}
+
+void soak_run::build(const soak_size &Size) {
+  Fleet.putConfiguration(Version);
+  for (std::size_t Index = 0; Index < Size.Servers; ++Index)
+    addServer(Domains[Index % Domains.size()]);
+  for (std::size_t Index = 0; Index < Size.Nodes; ++Index) {
+    const std::string Domain = Domains[Index % Domains.size()];
+    node_process &Node =
+        Fleet.addNode(cat("n", Index), Domain, Domain.substr(0, 1));
+    StoreLinks.push_back(
+        std::make_unique<link_proxy>(Fleet.Loop, Fleet.Store.address()));
+    Node.Store = StoreLinks.back()->address();
+  }
+  for (std::size_t Index = 0; Index < Size.Callers; ++Index)
+    Callers.push_back(
+        std::make_unique<soak_caller>(Fleet.Loop, cat("c", Index), Random(),
+                                      [this] { return chooseNode(); }));
+}
+
+std::string soak_run::chooseNode() {
+  return Fleet.Nodes[Random() % Fleet.Nodes.size()]->Callers;
+}
+
+target_stand_in &soak_run::standIn(const server &Server) {
+  return *Fleet.Targets.at(Server.Id);
+}
+
+void soak_run::addServer(const std::string &Domain) {
+  auto Server = std::make_unique<server>();
+  Server->Id = cat("s", Servers.size());
+  Server->Domain = Domain;
+  auto &Target = Fleet.Targets[Server->Id];
+  Target = std::make_unique<target_stand_in>(Fleet.Loop, Server->Id);
+  Server->Link = std::make_unique<link_proxy>(Fleet.Loop, Target->address());
+  Fleet.listTarget(*Target, Domain, "ready", Server->Link->address());
+  Servers.push_back(std::move(Server));
+}
+
+void soak_run::restart(node_process &Node) {
+  // It may have been started again by another fault meanwhile.
+  if (Fleet.hasEnded(Node))
+    Fleet.start(Node);
+}
+
+void soak_run::begin(const fault &Fault) {
+  if (Fault.Kind <= fault_kind::Reload)
+    beginAtNode(Fault);
+  else if (Fault.Kind <= fault_kind::StoreForgets)
+    beginAtStore(Fault);
+  else if (Fault.Kind <= fault_kind::StoreLinkReset)
+    beginAtStoreLink(Fault);
+  else if (Fault.Kind <= fault_kind::ServerAway)
+    beginAtServer(Fault);
+  else if (Fault.Kind <= fault_kind::ServerLinkReset)
+    beginAtServerLink(Fault);
+  else
+    beginChange(Fault);
+}
+
+void soak_run::beginAtNode(const fault &Fault) {
+  node_process &Node = *Fleet.Nodes[Fault.Subject % Fleet.Nodes.size()];
+  if (Fleet.hasEnded(Node))
+    return;
+  switch (Fault.Kind) {
+  case fault_kind::Kill:
+    Fleet.signal(Node, SIGKILL);
+    Fleet.Loop.after(Fault.For, [this, &Node] { restart(Node); });
+    return;
+  case fault_kind::Pause:
+    Fleet.signal(Node, SIGSTOP);
+    Fleet.Loop.after(Fault.For, [this, &Node] {
+      if (!Fleet.hasEnded(Node))
+        Fleet.signal(Node, SIGCONT);
+    });
+    return;
+  default:
+    // Whoever was told to end is started again when calm returns.
+    Fleet.signal(Node, Fault.Kind == fault_kind::Terminate ? SIGTERM : SIGHUP);
+    return;
+  }
+}
+
+void soak_run::beginAtStore(const fault &Fault) {
+  using mode = store_stand_in::mode;
+  store_stand_in &Store = Fleet.Store;
+  if (Fault.Kind == fault_kind::StoreForgets) {
+    Store.compact();
+    return;
+  }
+  if (Fault.Kind == fault_kind::StoreAway) {
+    Store.goDown();
+    Fleet.Loop.after(Fault.For, [&Store] {
+      Store.goDown();
+      Store.listen();
+    });
+    return;
+  }
+  Store.setMode(Fault.Kind == fault_kind::StoreSilent ? mode::Silent
+                                                      : mode::Refusing);
+  Fleet.Loop.after(Fault.For, [&Store] { Store.setMode(mode::Serving); });
+}
+
+static void disturb(event_loop &Loop, link_proxy &Link, link_mode Mode,
+                    duration For) {
+  Link.setMode(Mode);
+  Loop.after(For, [&Link] { Link.setMode(link_mode::Sound); });
+}
+
+void soak_run::beginAtStoreLink(const fault &Fault) {
+  link_proxy &Link = *StoreLinks[Fault.Subject % StoreLinks.size()];
+  switch (Fault.Kind) {
+  case fault_kind::StoreLinkSilent:
+    return disturb(Fleet.Loop, Link, link_mode::Silent, Fault.For);
+  case fault_kind::StoreLinkDelayed:
+    return disturb(Fleet.Loop, Link, link_mode::Delayed, Fault.For);
+  case fault_kind::StoreLinkOneWay:
+    return disturb(Fleet.Loop, Link, link_mode::OneWay, Fault.For);
+  default:
+    Link.resetAll();
+  }
+}
+
+void soak_run::beginAtServer(const fault &Fault) {
+  target_stand_in &Target = standIn(*Servers[Fault.Subject % Servers.size()]);
+  switch (Fault.Kind) {
+  case fault_kind::ServerSheds:
+    Target.Behavior = behavior::Sheds;
+    break;
+  case fault_kind::ServerLosesAnswers:
+    Target.Behavior = behavior::LosesAnswers;
+    break;
+  case fault_kind::ServerBreaksOff:
+    Target.Behavior = behavior::BreaksOff;
+    break;
+  case fault_kind::ServerGarbles:
+    Target.Behavior = behavior::Garbles;
+    break;
+  case fault_kind::ServerAnswersTwice:
+    Target.Behavior = behavior::AnswersTwice;
+    break;
+  case fault_kind::ServerUnsigned:
+    Target.Behavior = behavior::Unsigned;
+    break;
+  case fault_kind::ServerSilent:
+    Target.Behavior = behavior::Silent;
+    break;
+  case fault_kind::ServerSlow:
+    Target.Work = SlowWork;
+    break;
+  default:
+    Target.goDown();
+    Fleet.Loop.after(Fault.For, [&Target] {
+      Target.goDown();
+      Target.listen();
+    });
+    return;
+  }
+  Fleet.Loop.after(Fault.For, [&Target] {
+    Target.Behavior = behavior::Sound;
+    Target.Work = std::chrono::milliseconds(20);
+  });
+}
+
+void soak_run::beginAtServerLink(const fault &Fault) {
+  link_proxy &Link = *Servers[Fault.Subject % Servers.size()]->Link;
+  switch (Fault.Kind) {
+  case fault_kind::ServerLinkSilent:
+    return disturb(Fleet.Loop, Link, link_mode::Silent, Fault.For);
+  case fault_kind::ServerLinkDelayed:
+    return disturb(Fleet.Loop, Link, link_mode::Delayed, Fault.For);
+  case fault_kind::ServerLinkOneWay:
+    return disturb(Fleet.Loop, Link, link_mode::OneWay, Fault.For);
+  default:
+    Link.resetAll();
+  }
+}
+
+void soak_run::drain(server &Server, duration For) {
+  const std::string Id = Server.Id;
+  if (std::find(Drained.begin(), Drained.end(), Id) != Drained.end())
+    return;
+  Drained.push_back(Id);
+  Fleet.listTarget(standIn(Server), Server.Domain, "draining",
+                   Server.Link->address());
+  Fleet.Loop.after(For, [this, Id] { Fleet.Store.remove("servers", Id); });
+}
+
+void soak_run::beginChange(const fault &Fault) {
+  server &Server = *Servers[Fault.Subject % Servers.size()];
+  if (Fault.Kind == fault_kind::Drain) {
+    // Half of them may leave; the rest serve on.
+    if (2 * Drained.size() < Servers.size())
+      drain(Server, Fault.For);
+    return;
+  }
+  if (Fault.Kind == fault_kind::Configure) {
+    Version += 1 + static_cast<int>(Random() % 3);
+    Fleet.putConfiguration(Version, Version % 2 == 0);
+    return;
+  }
+  Fleet.Store.put("evacuations", Server.Domain, nlohmann::json::object());
+  Fleet.Loop.after(Fault.For, [this, Domain = Server.Domain] {
+    if (Fleet.Store.has("evacuations", Domain))
+      Fleet.Store.remove("evacuations", Domain);
+  });
+}
+
+/// Ends what is still disturbed. What the faults themselves end later finds
+/// nothing to do.
+void soak_run::heal() {
+  for (auto &Link : StoreLinks)
+    Link->setMode(link_mode::Sound);
+  for (auto &Server : Servers)
+    Server->Link->setMode(link_mode::Sound);
+}
+
+/// Waits until every node runs and serves, with the newest configuration.
+bool soak_run::settle() {
+  return std::all_of(
+      Fleet.Nodes.begin(), Fleet.Nodes.end(), [this](auto &Node) {
+        return Fleet.runUntil([&] {
+          restart(*Node);
+          const int Wanted = Version % 2 == 0 ? 200 : 404;
+          return Fleet.ask(*Node, "/extra/x", "probe").Status == Wanted &&
+                 Fleet.ask(*Node, "/safe/x", "probe").Status == 200;
+        });
+      });
+}
+
+void soak_run::stopCallers() {
+  for (auto &Caller : Callers)
+    Caller->stop();
+  Fleet.runUntil([this] {
+    return std::all_of(Callers.begin(), Callers.end(),
+                       [](const auto &Caller) { return Caller->isIdle(); });
+  });
+}
+
+/// With all faults over: drained servers get nothing, and every node serves.
+void soak_run::checkAfterwards(std::vector<std::string> &Broken) {
+  std::map<std::string, std::size_t> Before;
+  for (const std::string &Id : Drained)
+    Before[Id] = Fleet.Targets.at(Id)->Runs.size();
+  for (auto &Node : Fleet.Nodes)
+    for (int Index = 0; Index < 20; ++Index)
+      if (Fleet.ask(*Node, "/safe/x", cat("after-", Index)).Status != 200)
+        Broken.push_back(cat(Node->Name, " doesn't serve afterwards"));
+  for (const std::string &Id : Drained)
+    if (Fleet.Targets.at(Id)->Runs.size() != Before[Id])
+      Broken.push_back(cat(Id, " left and got new work"));
+}
+
+soak_result soak_run::run(const schedule_limits &Limits, bool KeepLogs) {
+  soak_result Result;
+  for (auto &Node : Fleet.Nodes)
+    Fleet.start(*Node);
+  if (!settle())
+    Result.Broken.emplace_back("the fleet doesn't start");
+  for (auto &Caller : Callers)
+    Caller->start();
+  Result.Faults = makeSchedule(Random(), Limits);
+  for (const fault &Fault : Result.Faults)
+    Fleet.Loop.after(Fault.At, [this, Fault] { begin(Fault); });
+  duration Last = Limits.Length;
+  for (const fault &Fault : Result.Faults)
+    Last = std::max(Last, Fault.At + Fault.For);
+  Fleet.runFor(Last + CalmTime);
+  heal();
+  if (!settle())
+    Result.Broken.emplace_back("the fleet doesn't settle after the faults");
+  stopCallers();
+  checkAfterwards(Result.Broken);
+
+  std::vector<attempt_seen> Attempts;
+  for (const auto &Caller : Callers)
+    Attempts.insert(Attempts.end(), Caller->attempts().begin(),
+                    Caller->attempts().end());
+  run_counts Runs;
+  for (const auto &[Id, Target] : Fleet.Targets)
+    for (const auto &[Request, Count] : Target->Runs)
+      if (Request.starts_with("c"))
+        Runs[Request] += Count;
+  for (const std::string &Sentence : checkAttempts(Attempts, Runs))
+    Result.Broken.push_back(Sentence);
+  Result.Attempts = Attempts.size();
+  for (const attempt_seen &Attempt : Attempts) {
+    Result.Served += Attempt.Status == 200 ? 1 : 0;
+    Result.Refused += Attempt.Status == 503 ? 1 : 0;
+  }
+  if (KeepLogs && !Result.Broken.empty()) {
+    Fleet.keepFolder();
+    Result.Folder = Fleet.folder();
+  }
+  return Result;
+}
+
+} // namespace amaranthhoist
