Steering: only an immediate end of a kept connection says nothing of its server

Cause: an incident's line showed a request that waited 392 ms at a server on a kept connection, was cut, and went to the same server again; every end of a kept connection without a byte was taken for the close of an idle one. Change: an end later than 150 ms counts as the server's failure. Test over the module, fails without the bound.

--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -26,6 +26,11 @@
 static constexpr duration AssumedWork = std::chrono::milliseconds(400);
 /// Less time than this before the deadline: nothing can be run.
 static constexpr duration LeastTime = std::chrono::milliseconds(30);
+/// A server that has closed an idle connection answers a request on it with a
+/// reset, one round trip later: 70 ms between the farthest regions, and twice
+/// that on a loaded link. What ends later ended under the server's work, or the
+/// server is cut off; taken for idle it would be asked again.
+static constexpr duration LongestStaleEnd = std::chrono::milliseconds(150);
 /// Bounds of the time to come back, before the share of the time left.
 static constexpr duration ShortestReturn = std::chrono::milliseconds(250);
 static constexpr duration LongestReturn = std::chrono::milliseconds(1'000);
@@ -226,6 +231,14 @@
                                           Steering.Instances.size(), Now);
 }
 
+attempt_result resultOf(const broken_attempt &Attempt) {
+  if (Attempt.NotConnected)
+    return attempt_result::Unreachable;
+  const bool OnlyStale =
+      Attempt.WasKept && !Attempt.HadAnswer && Attempt.Took < LongestStaleEnd;
+  return OnlyStale ? attempt_result::Cancelled : attempt_result::Failed;
+}
+
 duration retryAfter(const request_plan &Plan, std::string_view RequestId,
                     instant Now) {
   const duration Left = std::max(duration::zero(), Plan.Deadline - Now);
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -157,6 +157,22 @@
 /// server itself says that it did not run it.
 bool mayRepeat(steering &Steering, const request_plan &Plan, instant Now);
 
+/// An attempt whose connection ended without a whole answer.
+struct broken_attempt {
+  /// The connection never stood.
+  bool NotConnected = false;
+  /// It had served other requests before.
+  bool WasKept = false;
+  /// Bytes came, sound or not.
+  bool HadAnswer = false;
+  /// From sending to the end.
+  duration Took{};
+};
+
+/// What a broken attempt says of its server. Cancelled: nothing, since a kept
+/// connection that ends at once was most likely closed for having been idle.
+attempt_result resultOf(const broken_attempt &Attempt);
+
 /// When a refused caller should come back: spread, so that those refused
 /// together don't return together, and soon enough that there is time left to
 /// serve them.
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -198,19 +198,15 @@
   if (!Target)
     return;
   const std::string Id = Target->Entry.Id;
-  if (Failure.NotConnected) {
-    endAttempt(attempt_result::Unreachable);
-    Plan.Tried.push_back(Id);
-    repeatOrEnd();
-    return;
+  const attempt_result Result = resultOf({Failure.NotConnected, Failure.WasKept,
+                                          Failure.HadAnswer || Failure.Garbled,
+                                          Node.Loop.now() - AttemptBegan});
+  if (Result != attempt_result::Unreachable) {
+    ++Plan.Arrivals;
+    Plan.MayHaveRun = true;
   }
-  ++Plan.Arrivals;
-  Plan.MayHaveRun = true;
-  // A kept connection that ends without a byte was most likely idle too long.
-  const bool OnlyStale =
-      Failure.WasKept && !Failure.HadAnswer && !Failure.Garbled;
-  endAttempt(OnlyStale ? attempt_result::Cancelled : attempt_result::Failed);
-  if (!OnlyStale)
+  endAttempt(Result);
+  if (Result != attempt_result::Cancelled)
     Plan.Tried.push_back(Id);
   repeatOrEnd();
 }
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -207,3 +207,17 @@
   }
   CHECK(AtFirst <= 1);
 }
+
+// Symptom: a request is sent to the same server again and fails again; a server
+// that is cut off goes on getting requests. Sequence: a kept connection ends
+// hundreds of milliseconds after the request was sent. Cause: taking each end
+// of a kept connection for the close of an idle one.
+TEST(Steering, OnlyAnImmediateEndOfAKeptConnectionSaysNothingOfTheServer) {
+  const duration Soon = milliseconds(70);
+  const duration Late = milliseconds(390);
+  CHECK(resultOf({false, true, false, Soon}) == attempt_result::Cancelled);
+  CHECK(resultOf({false, true, false, Late}) == attempt_result::Failed);
+  CHECK(resultOf({false, true, true, Soon}) == attempt_result::Failed);
+  CHECK(resultOf({false, false, false, Soon}) == attempt_result::Failed);
+  CHECK(resultOf({true, false, false, Late}) == attempt_result::Unreachable);
+}
