Caller: a refused connection is no truncated answer

Cause: the test 'failures' counted downloads that found a killed entry's port closed as truncated; nothing had been answered there. What breaks off after a connection stood still counts.

--- a/Utilities/Caller/caller.cpp
+++ b/Utilities/Caller/caller.cpp
@@ -158,7 +158,8 @@
       const std::lock_guard Guard(Report.Lock);
       if (Kind.Keyed)
         Report.Keys[Key] = {Outcome, Kind.Name};
-      if (Outcome == "broken" && Kind.Bytes > 0) {
+      // Without a connection there was no answer that could be cut.
+      if (Result.End == call_end::Broken && Kind.Bytes > 0) {
         ++Report.Truncated;
         Report.Notes.push_back(Kind.Name + " " + Id + " cut after " +
                                std::to_string(BytesSeen) +
