--- a/Libraries/RequestTrace/describe.cpp
+++ b/Libraries/RequestTrace/describe.cpp
@@ -8,12 +8,12 @@
 static std::string timeOfDay(std::int64_t TimeMs) {
   const std::int64_t InDay = TimeMs % 86'400'000;
   std::string Text;
-  const auto addTwo = [&Text](std::int64_t Value, const char *After) {
+  const auto AddTwo = [&Text](std::int64_t Value, const char *After) {
     append(Text, Value < 10 ? "0" : "", Value, After);
   };
-  addTwo(InDay / 3'600'000, ":");
-  addTwo(InDay / 60'000 % 60, ":");
-  addTwo(InDay / 1'000 % 60, ".");
+  AddTwo(InDay / 3'600'000, ":");
+  AddTwo(InDay / 60'000 % 60, ":");
+  AddTwo(InDay / 1'000 % 60, ".");
   const std::int64_t Ms = InDay % 1'000;
   append(Text, Ms < 100 ? "0" : "", Ms < 10 ? "0" : "", Ms);
   return Text;
--- a/Tests/NodeProcesses/explain_test.cpp
+++ b/Tests/NodeProcesses/explain_test.cpp
@@ -43,16 +43,18 @@
   small_fleet Fleet;
   for (auto &[Id, Target] : Fleet.Targets)
     Target->Work = std::chrono::seconds(30);
+  constexpr int MoreThanFits = 60;
   std::vector<std::unique_ptr<caller_call>> Calls;
-  const auto wasRefused = [&](const auto &Call) {
+  Calls.reserve(MoreThanFits);
+  const auto WasRefused = [&](const auto &Call) {
     return Call->answer().Status == 503;
   };
   // Both servers fill up; the next one is refused.
-  for (int Index = 0; Index < 60; ++Index)
+  for (int Index = 0; Index < MoreThanFits; ++Index)
     Calls.push_back(Fleet.get(*Fleet.Node, "/safe/x", cat("id-", Index)));
   CHECK(Fleet.runUntil(
-      [&] { return std::any_of(Calls.begin(), Calls.end(), wasRefused); }));
-  const auto Refused = std::find_if(Calls.begin(), Calls.end(), wasRefused);
+      [&] { return std::any_of(Calls.begin(), Calls.end(), WasRefused); }));
+  const auto Refused = std::find_if(Calls.begin(), Calls.end(), WasRefused);
   const std::string Id = cat("id-", Refused - Calls.begin());
   CHECK(waitForCause(Fleet, Id));
   const request_trace Trace = explain(Fleet, Id);
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -292,15 +292,15 @@
   small_fleet Fleet;
   node_process &Second = Fleet.addNode("n2", "a1", "a");
   Fleet.start(Second);
-  const auto isNamed = [&] {
+  const auto IsNamed = [&] {
     return Fleet
                .askSmall(Fleet.Node->Lookups,
                          "/amaranthhoist/resolve?name=h&region=a&zone=a1")
                .Body.find(Second.Callers) != std::string::npos;
   };
-  CHECK(Fleet.runUntil(isNamed));
+  CHECK(Fleet.runUntil(IsNamed));
   Fleet.signal(Second, SIGKILL);
-  CHECK(Fleet.runUntil([&] { return !isNamed(); }));
+  CHECK(Fleet.runUntil([&] { return !IsNamed(); }));
   Fleet.Store.setMode(store_stand_in::mode::Refusing);
   // Nobody tells the new process anything: its peer can't be reached at the
   // address that its settings give.
@@ -313,7 +313,7 @@
   }));
   Fleet.signal(*Fleet.Node, SIGCONT);
   CHECK(Fleet.runUntil([&] {
-    return isNamed() && Fleet.ask(Second, "/safe/x", "id-1").Status == 200;
+    return IsNamed() && Fleet.ask(Second, "/safe/x", "id-1").Status == 200;
   }));
   // From its first naming on it never refused for want of a configuration.
   CHECK(Fleet.logOf(Second).find("not_configured") == std::string::npos);
--- a/Tests/Soak/schedule.cpp
+++ b/Tests/Soak/schedule.cpp
@@ -47,18 +47,18 @@
 std::vector<fault> makeSchedule(std::uint64_t Seed,
                                 const schedule_limits &Limits) {
   std::mt19937_64 Random(Seed);
-  const auto draw = [&Random](std::size_t Below) { return Random() % Below; };
+  const auto Draw = [&Random](std::size_t Below) { return Random() % Below; };
   const std::size_t Count =
-      Limits.Fewest + draw(Limits.Most - Limits.Fewest + 1);
+      Limits.Fewest + Draw(Limits.Most - Limits.Fewest + 1);
   const auto LengthMs = static_cast<std::size_t>(Limits.Length.count() / 1'000);
   std::vector<fault> Faults;
   for (std::size_t Index = 0; Index < Count; ++Index) {
     fault Fault;
-    Fault.Kind = static_cast<fault_kind>(draw(FaultKinds));
-    Fault.At = std::chrono::milliseconds(draw(LengthMs));
+    Fault.Kind = static_cast<fault_kind>(Draw(FaultKinds));
+    Fault.At = std::chrono::milliseconds(Draw(LengthMs));
     Fault.For =
-        std::chrono::milliseconds(ShortestMs + draw(LongestMs - ShortestMs));
-    Fault.Subject = draw(1'000);
+        std::chrono::milliseconds(ShortestMs + Draw(LongestMs - ShortestMs));
+    Fault.Subject = Draw(1'000);
     Faults.push_back(Fault);
   }
   std::stable_sort(
