--- a/Libraries/Targets/targets.cpp
+++ b/Libraries/Targets/targets.cpp
@@ -64,17 +64,23 @@
   return static_cast<std::size_t>(Found - Directory.Regions.begin());
 }
 
+/// Whether two entries under one id are of the same process at the same place.
+static bool isSameStart(const target_entry &Known, const target_entry &Entry) {
+  return Known.Service == Entry.Service && Known.Address == Entry.Address &&
+         Known.StartedAtMs == Entry.StartedAtMs;
+}
+
 void putTarget(target_directory &Directory, const target_entry &Entry,
                instant Now) {
   auto Found = Directory.ById.find(Entry.Id);
   if (Found != Directory.ById.end() &&
-      (Found->second->Entry.Service != Entry.Service ||
-       Found->second->Entry.Address != Entry.Address)) {
+      !isSameStart(Found->second->Entry, Entry)) {
     depart(Directory, Entry.Id);
     Found = Directory.ById.end();
   }
   if (Found == Directory.ById.end()) {
     auto Target = std::make_unique<target>();
+    Target->Serial = Directory.NextSerial++;
     Target->Hash = stableHash(Entry.Id);
     Target->FirstSeen = Now;
     Target->Entry = Entry;
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -28,6 +28,9 @@
   bool IsLeaving = false;
   /// How much longer it is cold.
   duration ColdFor{};
+  /// Unix time of its start in milliseconds, which tells one start under the
+  /// same id from the next; 0: it doesn't say.
+  std::int64_t StartedAtMs = 0;
 };
 
 /// What a backend server says of its own load.
@@ -56,6 +59,8 @@
 
 struct target {
   target_entry Entry;
+  /// Unique in this process: another start under the same id has another one.
+  std::uint64_t Serial = 0;
   std::string Region;
   /// Of its region in the directory's Regions.
   std::size_t RegionIndex = 0;
@@ -103,6 +108,7 @@
   text_set EvacuatedDomains;
   /// Removed from the list, kept until their last request has ended.
   std::vector<std::unique_ptr<target>> Departed;
+  std::uint64_t NextSerial = 1;
 };
 
 /// Sets the failure domains by name, with their regions.
@@ -113,7 +119,9 @@
 std::size_t regionIndex(const target_directory &Directory,
                         std::string_view Name);
 
-/// Takes in one entry of the list.
+/// Takes in one entry of the list. A server that started again under its id
+/// begins a fresh record: what was learned of the earlier start (load,
+/// failures, leaving) would shut a healthy server out, or trust a cold one.
 void putTarget(target_directory &Directory, const target_entry &Entry,
                instant Now);
 
--- a/Services/Node/beliefs.cpp
+++ b/Services/Node/beliefs.cpp
@@ -99,6 +99,13 @@
                  Node.Loop.now());
 }
 
+/// An entry that a connection can be made to.
+static result<target_entry> decodeServer(const std::string &Text) {
+  target_entry Entry = TRY(platform::decodeTarget(Text));
+  TRY(parseEndpoint(Entry.Address));
+  return Entry;
+}
+
 void beliefs::applyTarget(const object_change &Change) {
   const instant Now = Node.Loop.now();
   if (Change.IsDeleted) {
@@ -107,8 +114,10 @@
                    {{"server", Change.Name}, {"sure", listIsSure()}}, Now);
     return;
   }
-  auto Entry = platform::decodeTarget(Change.Text);
+  auto Entry = decodeServer(Change.Text);
   if (!Entry) {
+    // Whoever wrote it, the entry names no server that may be used.
+    removeTarget(Node.Steering.Targets, Change.Name, /*ListIsSure=*/true);
     tellUnreadable(object_kind::Target, Change.Name, Entry.error().Message);
     return;
   }
--- a/Services/Node/target_pool.cpp
+++ b/Services/Node/target_pool.cpp
@@ -1,5 +1,7 @@
 #include "target_pool.h"
 
+#include <absl/container/flat_hash_set.h>
+
 namespace amaranthhoist {
 
 /// A server that hasn't told how long it keeps connections is taken to keep
@@ -36,7 +38,7 @@
 
 std::unique_ptr<client_connection> target_pool::take(const target &Target,
                                                      work_class Class) {
-  auto Found = Idle.find(Target.Entry.Id);
+  auto Found = Idle.find(Target.Serial);
   if (Found == Idle.end())
     return nullptr;
   auto &Connections = Found->second;
@@ -62,7 +64,7 @@
 
 void target_pool::put(const target &Target,
                       std::unique_ptr<client_connection> Connection) {
-  auto &Connections = Idle[Target.Entry.Id];
+  auto &Connections = Idle[Target.Serial];
   if (Connections.size() < MostIdle)
     Connections.push_back(std::move(Connection));
   else
@@ -70,12 +72,14 @@
 }
 
 void target_pool::sweep() {
+  absl::flat_hash_set<std::uint64_t> Known;
+  for (const auto &[Id, Target] : Node.Steering.Targets.ById)
+    Known.insert(Target->Serial);
   absl::erase_if(Idle, [&](auto &Entry) {
     std::erase_if(Entry.second, [&](const auto &Connection) {
       return !isFresh(*Connection, work_class::Idempotent);
     });
-    const bool IsGone = !Node.Steering.Targets.ById.contains(Entry.first);
-    return Entry.second.empty() || IsGone;
+    return Entry.second.empty() || !Known.contains(Entry.first);
   });
 }
 
--- a/Services/Node/target_pool.h
+++ b/Services/Node/target_pool.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "HttpConnection/client_connection.h"
-#include "Text/text.h"
 #include "node.h"
 
+#include <absl/container/flat_hash_map.h>
+#include <cstdint>
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace amaranthhoist {
@@ -30,8 +30,11 @@
   bool isFresh(const client_connection &Connection, work_class Class) const;
 
   node &Node;
-  /// By the server's id.
-  text_map<std::vector<std::unique_ptr<client_connection>>> Idle;
+  /// By the server's serial: a connection to an earlier start of a server is
+  /// dead, or leads to nobody.
+  absl::flat_hash_map<std::uint64_t,
+                      std::vector<std::unique_ptr<client_connection>>>
+      Idle;
 };
 
 } // namespace amaranthhoist
--- a/Tests/platform_codec_test.cpp
+++ b/Tests/platform_codec_test.cpp
@@ -142,3 +142,61 @@
     }
   }
 }
+
+TEST(PlatformCodec, ReadsWhenABackendServerStarted) {
+  std::string Text = TargetText;
+  Text.insert(Text.find("\"service\""), R"("born":1700000000123,)");
+  CHECK(platform::decodeTarget(Text)->StartedAtMs == 1'700'000'000'123);
+  CHECK(platform::decodeTarget(TargetText)->StartedAtMs == 0);
+}
+
+// Symptom: requests go to what is no server, or to one that doesn't take any.
+// Sequence: another writer leaves an entry that lacks fields, has them of other
+// types, or tells a state that nobody knows. Cause: filling the gaps with
+// defaults, as ready and one slot.
+TEST(PlatformCodec, AnEntryThatIsNotWholeNamesNoServer) {
+  const std::string Whole =
+      R"({"service":"desk","address":"10.0.0.1:80","zone":"z","slots":3,)"
+      R"("state":"ready","warmup_remaining":"0ms","sequence":1})";
+  const auto Decode = [](const std::string &Specification) {
+    return platform::decodeTarget(R"({"metadata":{"name":"i"},)"
+                                  R"("specification":)" +
+                                  Specification + "}");
+  };
+  CHECK(Decode(Whole).has_value());
+  const std::pair<std::string, std::string> Changes[] = {
+      {R"("service":"desk",)", ""},         {R"("desk")", "7"},
+      {R"("10.0.0.1:80")", "null"},         {R"("zone":"z",)", ""},
+      {R"("slots":3)", R"("slots":"3")"},   {R"("slots":3)", R"("slots":0)"},
+      {R"("slots":3)", R"("slots":1e300)"}, {R"("ready")", R"("resting")"},
+      {R"("state":"ready",)", ""},          {R"("ready")", "true"}};
+  for (const auto &[From, To] : Changes) {
+    std::string Changed = Whole;
+    Changed.replace(Changed.find(From), From.size(), To);
+    CHECK_FALSE_TEXT(Decode(Changed).has_value(), Changed.c_str());
+  }
+  for (const char *Text : {"null", "[]", "7", "\"x\"", "{}"})
+    CHECK_FALSE(Decode(Text).has_value());
+}
+
+// Symptom: a change of the list reaches no node. Sequence: one object of a page
+// holds bytes that are no text. Cause: the whole page counted as unreadable.
+TEST(PlatformCodec, BytesThatCannotBeReadHideNoOtherObject) {
+  const std::string Foreign =
+      "{\"metadata\":{\"name\":\"odd\"},\"specification\":{\"service\":"
+      "\"\xff\xfe\x01\"}}";
+  const auto Page =
+      platform::decodePage(R"({"items":[)" + Foreign + "," + TargetText +
+                           R"(,7,null],)"
+                           R"("more":false,"at_revision":3})");
+  CHECK(Page.has_value());
+  LONGS_EQUAL(4, Page->Items.size());
+  CHECK_FALSE(platform::decodeTarget(Page->Items[0].Text).has_value());
+  CHECK(platform::decodeTarget(Page->Items[1].Text).has_value());
+  const auto Batch =
+      platform::decodeBatch(R"({"events":[7,{"deleted":false,"object":)" +
+                            Foreign + R"(},{"deleted":false,"object":)" +
+                            TargetText + R"(}],"at_revision":31})");
+  CHECK(Batch.has_value());
+  CHECK(platform::decodeTarget(Batch->Changes.back().Object.Text).has_value());
+}
--- a/Tests/targets_test.cpp
+++ b/Tests/targets_test.cpp
@@ -173,3 +173,46 @@
   DOUBLES_EQUAL(7, estimatedLoad(Target, instant()), 0.01);
   DOUBLES_EQUAL(1, estimatedLoad(Target, instant(seconds(5))), 0.01);
 }
+
+// Symptom: a healthy server gets no request for the rest of its life.
+// Sequence: a server leaves, fails and reports a full load; it starts again
+// under the same id, ready and empty. Cause: state kept by id.
+TEST(Targets, AServerThatStartsAgainBeginsAFreshRecord) {
+  target_directory Directory = makeDirectory(2);
+  target &Before = get(Directory, "s0");
+  const std::uint64_t SerialBefore = Before.Serial;
+  noteLoad(Before, {4, 9, 4}, instant());
+  noteLeaving(Before);
+  noteSent(Before, instant());
+  target_entry Entry = makeEntry("s0");
+  Entry.StartedAtMs = 1'700'000'000'000;
+  Entry.ColdFor = seconds(3);
+  putTarget(Directory, Entry, instant(seconds(1)));
+  target &After = get(Directory, "s0");
+  CHECK(After.Serial != SerialBefore);
+  CHECK(isUsable(Directory, After, instant(seconds(1))));
+  DOUBLES_EQUAL(0, estimatedLoad(After, instant(seconds(1))), 0);
+  CHECK(After.ColdUntil == instant(seconds(4)));
+  LONGS_EQUAL(2, Directory.ByService.at("desk").size());
+  // What was under way at the earlier start still ends on its own record.
+  LONGS_EQUAL(1, Directory.Departed.size());
+  freeDeparted(Directory);
+  LONGS_EQUAL(1, Directory.Departed.size());
+  noteResult(Directory, *Directory.Departed[0], attempt_result::Failed,
+             milliseconds(5), instant(seconds(1)));
+  freeDeparted(Directory);
+  LONGS_EQUAL(0, Directory.Departed.size());
+}
+
+// The same start, said again with another state, stays the same record.
+TEST(Targets, AnotherEntryOfTheSameStartKeepsWhatWasLearned) {
+  target_directory Directory = makeDirectory(1);
+  target_entry Entry = makeEntry("s0");
+  Entry.StartedAtMs = 7;
+  putTarget(Directory, Entry, instant());
+  const std::uint64_t Serial = get(Directory, "s0").Serial;
+  noteLeaving(get(Directory, "s0"));
+  putTarget(Directory, Entry, instant(seconds(1)));
+  LONGS_EQUAL(Serial, get(Directory, "s0").Serial);
+  CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
+}
