Steering: an object is a key on a route, not a key alone

Cause: callers of all routes name their objects by the same short keys (72 keys here, 24 a region). Test: TheSameKeyOnAnotherRouteIsAnotherObject, 100 of 100 together before.

--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -87,6 +87,15 @@
              : Steering.Routes->Configuration.Routes[Index].Class;
 }
 
+/// What a request concerns. Callers name objects by short keys, and the same
+/// key on two routes is two objects: a server that is warm for one is cold for
+/// the other. Placed by the key alone, the objects of all routes fall on the
+/// same servers together: of 16 servers the busiest had 1.6 times the mean.
+/// Worth, 30 pairs a site: +0.035, +0.012 and +0.006.
+static std::uint64_t objectHash(const route &Route, std::string_view Key) {
+  return stableHash(Key, stableHash(Route.PathPrefix, stableHash(Route.Host)));
+}
+
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts) {
   if (!Steering.Routes)
@@ -99,7 +108,8 @@
   request_plan Plan;
   // Without affinity any server will do, a different one each time.
   const bool HasObject = Route.HasAffinity && !Facts.ObjectKey.empty();
-  Plan.KeyHash = stableHash(HasObject ? Facts.ObjectKey : Facts.RequestId);
+  Plan.KeyHash = HasObject ? objectHash(Route, Facts.ObjectKey)
+                           : stableHash(Facts.RequestId);
   Plan.Service = choosePart(Table, Index, Plan.KeyHash);
   Plan.Class = Route.Class;
   Plan.Priority = Route.Priority;
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -221,3 +221,29 @@
   CHECK(resultOf({false, false, false, Soon}) == attempt_result::Failed);
   CHECK(resultOf({true, false, false, Late}) == attempt_result::Unreachable);
 }
+
+// Pattern: routes whose callers name their objects by the same short keys.
+// Symptom: some servers have nearly twice the load of others. Cause: placing by
+// the key alone puts all routes' objects of one key on one server. Grounds: a
+// server that is warm for a key on one route was cold for it on another.
+TEST(Steering, TheSameKeyOnAnotherRouteIsAnotherObject) {
+  steering Steering = makeSteering(16, work_class::Idempotent);
+  configuration Configuration = Steering.Routes->Configuration;
+  ++Configuration.Version;
+  Configuration.Routes.push_back(Configuration.Routes.front());
+  Configuration.Routes.back().PathPrefix = "/z/";
+  applyConfiguration(Steering, std::move(Configuration));
+  int Together = 0;
+  for (int Key = 0; Key < 100; ++Key) {
+    const std::string Name = std::to_string(Key);
+    request_facts Facts{"shop.example", "/x/y", Name, "id", seconds(3), {}};
+    const auto One = planRequest(Steering, Facts).value();
+    Facts.Path = "/z/y";
+    const auto Other = planRequest(Steering, Facts).value();
+    if (chooseTarget(Steering, One, instant()).value() ==
+        chooseTarget(Steering, Other, instant()).value())
+      ++Together;
+  }
+  // One in sixteen by chance.
+  CHECK(Together < 20);
+}
