Node: the fields of a request's last line stand in one place

The common fields of an answered and of a refused request were written twice; finalFields() makes them. The log takes a span, so that a line may be put together.

--- a/Libraries/EventLog/event_log.cpp
+++ b/Libraries/EventLog/event_log.cpp
@@ -48,10 +48,10 @@
   for (std::size_t Index = 0; Index < LogKinds; ++Index) {
     if (LeftOut[Index] == 0)
       continue;
-    append("lines_left_out",
-           {{"kind", KindNames[Index]},
-            {"lines", static_cast<std::int64_t>(LeftOut[Index])}},
-           Now);
+    const std::array<log_entry, 2> Fields = {
+        {{"kind", KindNames[Index]},
+         {"lines", static_cast<std::int64_t>(LeftOut[Index])}}};
+    append("lines_left_out", Fields, Now);
     LeftOut[Index] = 0;
   }
 }
@@ -85,7 +85,7 @@
 }
 
 void event_log::append(std::string_view Event,
-                       std::initializer_list<log_entry> Fields, instant Now) {
+                       std::span<const log_entry> Fields, instant Now) {
   timespec Wall{};
   clock_gettime(CLOCK_REALTIME, &Wall);
   amaranthhoist::append(
@@ -100,7 +100,7 @@
 }
 
 void event_log::write(log_kind Kind, std::string_view Event,
-                      std::initializer_list<log_entry> Fields, instant Now) {
+                      std::span<const log_entry> Fields, instant Now) {
   if (!wouldWrite(Kind, Now))
     return;
   ++Written[static_cast<std::size_t>(Kind)];
--- a/Libraries/EventLog/event_log.h
+++ b/Libraries/EventLog/event_log.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -50,7 +51,11 @@
 
   /// Adds a line. \p Event names what happened, in snake case.
   void write(log_kind Kind, std::string_view Event,
-             std::initializer_list<log_entry> Fields, instant Now);
+             std::span<const log_entry> Fields, instant Now);
+  void write(log_kind Kind, std::string_view Event,
+             std::initializer_list<log_entry> Fields, instant Now) {
+    write(Kind, Event, std::span(Fields.begin(), Fields.size()), Now);
+  }
 
   /// Hands the lines to the kernel; drops and counts those it doesn't take.
   void flush();
@@ -60,7 +65,7 @@
 private:
   bool hasRoom(log_kind Kind, instant Now);
   void tellLeftOut(instant Now);
-  void append(std::string_view Event, std::initializer_list<log_entry> Fields,
+  void append(std::string_view Event, std::span<const log_entry> Fields,
               instant Now);
 
   int Descriptor;
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -103,6 +103,11 @@
   void answerOwn(int Status, std::optional<duration> RetryAfter,
                  std::string_view Why);
   void over();
+  /// Fields of a request's last line; room for those of a refusal.
+  using log_fields = absl::InlinedVector<log_entry, 19>;
+  /// \p Made: describeAttempts(), which outlives the fields.
+  log_fields finalFields(std::string_view Why, int WithStatus,
+                         std::string_view Made) const;
   void log(log_kind Kind, std::string_view Event, std::string_view Why,
            int Status);
   void logRefusal(std::string_view Why, int Status, duration RetryAfter);
--- a/Services/Node/exchange_log.cpp
+++ b/Services/Node/exchange_log.cpp
@@ -41,22 +41,26 @@
   return Text;
 }
 
+exchange::log_fields exchange::finalFields(std::string_view Why, int WithStatus,
+                                           std::string_view Made) const {
+  const instant Now = Node.Loop.now();
+  return {{"request", Request.Id},
+          {"service", Plan.Service},
+          {"why", Why},
+          {"status", static_cast<std::int64_t>(WithStatus)},
+          {"attempts", Made},
+          {"version", configurationVersion(Node)},
+          {"took_us", inMicroseconds(Now - Request.Arrived)},
+          {"left_us", inMicroseconds(Plan.Deadline - Now)}};
+}
+
 void exchange::log(log_kind Kind, std::string_view Event, std::string_view Why,
                    int WithStatus) {
   const instant Now = Node.Loop.now();
   if (!Node.Log.wouldWrite(Kind, Now))
     return;
   const std::string Made = describeAttempts();
-  Node.Log.write(Kind, Event,
-                 {{"request", Request.Id},
-                  {"service", Plan.Service},
-                  {"why", Why},
-                  {"status", static_cast<std::int64_t>(WithStatus)},
-                  {"attempts", Made},
-                  {"version", configurationVersion(Node)},
-                  {"took_us", inMicroseconds(Now - Request.Arrived)},
-                  {"left_us", inMicroseconds(Plan.Deadline - Now)}},
-                 Now);
+  Node.Log.write(Kind, Event, finalFields(Why, WithStatus, Made), Now);
 }
 
 /// Age of the load report that a place was weighed by; -1: none came yet.
@@ -81,27 +85,20 @@
   const weighed_place &First = Weighed.Places[0];
   const weighed_place &Second = Weighed.Places[1];
   const std::string Made = describeAttempts();
-  Node.Log.write(
-      log_kind::Trouble, "refused",
-      {{"request", Request.Id},
-       {"service", Plan.Service},
-       {"why", Why},
-       {"status", static_cast<std::int64_t>(WithStatus)},
-       {"attempts", Made},
-       {"version", configurationVersion(Node)},
-       {"took_us", inMicroseconds(Now - Request.Arrived)},
-       {"left_us", inMicroseconds(Plan.Deadline - Now)},
-       {"retry_after_us", inMicroseconds(RetryAfter)},
-       {"longest_wait_us", inMicroseconds(Weighed.Places[0].LongestWait)},
-       {"place_1", serverOf(First)},
-       {"load_1", First.Load},
-       {"wait_1_us", inMicroseconds(First.Wait)},
-       {"report_age_1_us", reportAge(First, Now)},
-       {"place_2", serverOf(Second)},
-       {"load_2", Second.Load},
-       {"wait_2_us", inMicroseconds(Second.Wait)},
-       {"report_age_2_us", reportAge(Second, Now)}},
-      Now);
+  log_fields Fields = finalFields(Why, WithStatus, Made);
+  Fields.insert(Fields.end(),
+                {{"retry_after_us", inMicroseconds(RetryAfter)},
+                 {"longest_wait_us", inMicroseconds(First.LongestWait)},
+                 {"place_1", serverOf(First)},
+                 {"load_1", First.Load},
+                 {"wait_1_us", inMicroseconds(First.Wait)},
+                 {"report_age_1_us", reportAge(First, Now)},
+                 {"longest_wait_2_us", inMicroseconds(Second.LongestWait)},
+                 {"place_2", serverOf(Second)},
+                 {"load_2", Second.Load},
+                 {"wait_2_us", inMicroseconds(Second.Wait)},
+                 {"report_age_2_us", reportAge(Second, Now)}});
+  Node.Log.write(log_kind::Trouble, "refused", Fields, Now);
 }
 
 void exchange::noteCutOff() {
