CallerConnection: say why non-idempotent work waits for the answers before it

Comments alone; found when the change was read once more as a newcomer would: the rule was told by its wording on the wire and not by what goes wrong.

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -9,10 +9,10 @@
 /// on shows when the caller goes away.
 static constexpr std::size_t MostBacklog = 65'536;
 /// Requests of one connection that are served at a time. Served one after the
-/// other, a request waits for all before it: 6 % of a calm day's requests and 9
-/// % of a heavy one's took over half of their objective to reach a server.
-/// Worth +0.026 where callers send ahead (30 pairs). Bounded, since each may
-/// hold an answer back.
+/// other, a request waits for all before it, and 6 % of them on a calm day, 9 %
+/// on a heavy one, took over half of their objective to reach a server. Worth
+/// +0.026 where callers send ahead (30 pairs). Bounded, since each may hold an
+/// answer back.
 static constexpr std::size_t MostAtATime = 8;
 /// A caller that was told that the connection ends has this long to close it.
 static constexpr duration EndingTime = std::chrono::seconds(1);
@@ -227,10 +227,9 @@
   return Request;
 }
 
-/// A request that may be sent anew by its caller may run before the answers in
-/// front of it are out. If one of those ends the connection, the request counts
-/// as not read and comes again, whatever its class: work that mustn't run twice
-/// has to wait until the answers before it are out.
+/// If an answer ends the connection, the caller sends everything behind it
+/// again, also what mustn't run twice, since nobody told it that it had been
+/// taken. Such work has to wait until the answers before it are out.
 bool caller_connection::mayServeBeside(const caller_request &Request) const {
   return Slots.empty() || classOf(Node.Steering, Request.Host,
                                   Request.path()) == work_class::Idempotent;
--- a/Tests/NodeProcesses/pipelined_test.cpp
+++ b/Tests/NodeProcesses/pipelined_test.cpp
@@ -107,7 +107,7 @@
 }
 
 // Symptom: a job runs twice. Sequence: it is sent behind another request whose
-// answer ends the connection; as not read, it comes again elsewhere. Cause:
+// answer ends the connection, so its caller sends it again elsewhere. Cause:
 // passing it on before the answers in front of it are out.
 TEST(Pipelined, NonIdempotentWorkWaitsForTheAnswersBeforeIt) {
   small_fleet Fleet;
