Soak: a node that was told to end has to end before the fleet counts as settled

Sequence: SIGTERM in the last moments of the run; the node leaves for 3.2 s and serves meanwhile, so settle() took it for settled; 0.6 s later it ended, and the checks after that asked a node that was gone. Cause: the harness asked whether the node serves and not whether it is the next start that does. Change: settle() waits until a node that was told to end has ended, is started again and serves. Stricter: a node that never ends fails the run now.

--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -65,6 +65,11 @@
     Fleet.start(Node);
 }
 
+bool soak_run::isEnding(node_process &Node) {
+  auto Found = ToldToEnd.find(&Node);
+  return Found != ToldToEnd.end() && Found->second == Node.Process;
+}
+
 void soak_run::begin(const fault &Fault) {
   if (Fault.Kind <= fault_kind::Reload)
     beginAtNode(Fault);
@@ -98,6 +103,8 @@
     return;
   default:
     // Whoever was told to end is started again when calm returns.
+    if (Fault.Kind == fault_kind::Terminate)
+      ToldToEnd[&Node] = Node.Process;
     Fleet.signal(Node, Fault.Kind == fault_kind::Terminate ? SIGTERM : SIGHUP);
     return;
   }
@@ -243,6 +250,10 @@
       Fleet.Nodes.begin(), Fleet.Nodes.end(), [this](auto &Node) {
         return Fleet.runUntil([&] {
           restart(*Node);
+          // A node that leaves still serves for some seconds: it has to end,
+          // and its next start has to serve.
+          if (isEnding(*Node))
+            return false;
           const int Wanted = Version % 2 == 0 ? 200 : 404;
           return Fleet.ask(*Node, "/extra/x", "probe").Status == Wanted &&
                  Fleet.ask(*Node, "/safe/x", "probe").Status == 200;
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -7,6 +7,7 @@
 #include "schedule.h"
 #include "soak_caller.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -54,6 +55,8 @@
   void beginAtServerLink(const fault &Fault);
   void beginChange(const fault &Fault);
   void restart(node_process &Node);
+  /// Whether it was told to end and hasn't ended yet.
+  bool isEnding(node_process &Node);
   void drain(server &Server, duration For);
   void heal();
   bool settle();
@@ -69,6 +72,8 @@
   std::vector<std::unique_ptr<soak_caller>> Callers;
   /// Ids of servers that left.
   std::vector<std::string> Drained;
+  /// Processes that were told to end, by node.
+  std::map<const node_process *, pid_t> ToldToEnd;
   int Version = 1;
 };
 
