--- a/Services/Gateway/gateway_view.cpp
+++ b/Services/Gateway/gateway_view.cpp
@@ -66,7 +66,13 @@
   const bool GatewaysChanged =
       Change.touches(kinds::Gateway) || Change.DownChanged;
   if (GatewaysChanged) {
-    Addresses.clear();
+    // One that has unregistered is reached as long as its object leaves a
+    // trace: it waits for the return of what it lent, and without an address
+    // the return would be dropped. Messages name the incarnation, so a later
+    // one is safe.
+    std::erase_if(Addresses, [&](const auto &Entry) {
+      return !View.Items.contains(objectKey(kinds::Gateway, Entry.first));
+    });
     for (const item *Item : itemsOf(View, kinds::Gateway))
       if (const auto Record = parseDaemon(Item->Value))
         Addresses[Record->Instance] = {Record->Address, Item->Version};
