StateSpread: a few ask the store, the others are told by them

Change: seeds list the store, others are told where the state is and get the whole lists compressed from peers, within what the peer's link carries; the best placed step in if nobody tells them. Two watchers a region and, while they are blind, up to eight ask the store; the rest follow them, in a large region through relays of their failure domain. First lists may be stale, which costs the store a tenth. A node's own object is written only if the list lacks it. Followers rest while probes go unanswered. On the way, each seen in logs of a first start: nodes ranked first for want of others (209 watchers after 0.7 s), nobody watching after seeds handed over (246 step-ins), nobody to poll while the list of instances is empty (262).

--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -23,8 +23,6 @@
 /// failed waits for another look-up.
 static constexpr std::size_t Draws = 4;
 static constexpr std::size_t LeastDistinct = 3;
-/// Sources that are remembered: a few of those that are heard first.
-static constexpr std::size_t MostSources = 8;
 
 using members = std::vector<const fleet_member *>;
 
@@ -102,13 +100,6 @@
   return Addresses;
 }
 
-void noteSource(fleet &Fleet, const std::string &Control) {
-  const bool IsKnown = std::find(Fleet.Sources.begin(), Fleet.Sources.end(),
-                                 Control) != Fleet.Sources.end();
-  if (!Control.empty() && !IsKnown && Fleet.Sources.size() < MostSources)
-    Fleet.Sources.push_back(Control);
-}
-
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members) {
   std::map<std::string, fleet_member> Next;
   std::set<std::string> Names;
--- a/Libraries/Fleet/fleet.h
+++ b/Libraries/Fleet/fleet.h
@@ -40,9 +40,6 @@
   bool OwnIsReady = false;
   bool OwnIsLeaving = false;
   membership Membership;
-  /// Control addresses of instances that were heard of before the list of
-  /// instances was known.
-  std::vector<std::string> Sources;
   /// Draws the addresses of look-ups.
   std::mt19937_64 Random;
 };
@@ -61,9 +58,6 @@
                                       std::string_view FailureDomain,
                                       std::string_view Region);
 
-/// Remembers an instance that could be asked for the store's objects.
-void noteSource(fleet &Fleet, const std::string &Control);
-
 /// Sets the known instances from the platform's store.
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members);
 
--- a/Libraries/ObjectCache/object_cache.h
+++ b/Libraries/ObjectCache/object_cache.h
@@ -53,6 +53,9 @@
   /// Whether servers missing from the list are gone, as far as it knows.
   bool ListIsSure = true;
   std::vector<kind_changes> Kinds;
+  /// Control addresses, `ip:port`, of instances that can be asked instead of a
+  /// teller that has no whole lists to give now.
+  std::vector<std::string> Sources;
 };
 
 struct object_cache {
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -1,5 +1,5 @@
 @0xb8a1f0c2d94e6a37;
-# Datagrams between the nodes of a fleet.
+# Datagrams between the nodes of a fleet, and the state that they hand on.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("amaranthhoist::datagram");
@@ -33,8 +33,17 @@
   changes @3 :List(ObjectChange);
 }
 
+struct KindList {
+  kinds @0 :List(KindChanges);
+}
+
 struct CacheChanges {
   ageUs @0 :Int64;
-  kinds @1 :List(KindChanges);
-  listIsSure @2 :Bool;
+  listIsSure @1 :Bool;
+  # A KindList, apart from the rest so that one copy serves many askers.
+  kinds @2 :Data;
+  # Bytes of the KindList before it was compressed; 0: it isn't.
+  plainBytes @3 :UInt32;
+  # Other instances that can be asked instead.
+  sources @4 :List(Text);
 }
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(9e71e0a2afa59a12);
 CAPNP_DECLARE_SCHEMA(bfc9645bf48c0080);
 CAPNP_DECLARE_SCHEMA(c7e8f9af567096ef);
+CAPNP_DECLARE_SCHEMA(877a580895ae6c29);
 CAPNP_DECLARE_SCHEMA(94cfe3fc67bfa06d);
 
 }  // namespace schemas
@@ -88,6 +89,21 @@
   };
 };
 
+struct KindList {
+  KindList() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(877a580895ae6c29, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CacheChanges {
   CacheChanges() = delete;
 
@@ -96,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -519,6 +535,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class KindList::Reader {
+public:
+  typedef KindList Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKinds() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader getKinds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KindList::Builder {
+public:
+  typedef KindList Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKinds();
+  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder getKinds();
+  inline void setKinds( ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder initKinds(unsigned int size);
+  inline void adoptKinds(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>> disownKinds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KindList::Pipeline {
+public:
+  typedef KindList Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CacheChanges::Reader {
 public:
   typedef CacheChanges Reads;
@@ -538,10 +635,15 @@
 
   inline  ::int64_t getAgeUs() const;
 
+  inline bool getListIsSure() const;
+
   inline bool hasKinds() const;
-  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader getKinds() const;
+  inline  ::capnp::Data::Reader getKinds() const;
 
-  inline bool getListIsSure() const;
+  inline  ::uint32_t getPlainBytes() const;
+
+  inline bool hasSources() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSources() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -574,16 +676,27 @@
   inline  ::int64_t getAgeUs();
   inline void setAgeUs( ::int64_t value);
 
-  inline bool hasKinds();
-  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder getKinds();
-  inline void setKinds( ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder initKinds(unsigned int size);
-  inline void adoptKinds(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>> disownKinds();
-
   inline bool getListIsSure();
   inline void setListIsSure(bool value);
 
+  inline bool hasKinds();
+  inline  ::capnp::Data::Builder getKinds();
+  inline void setKinds( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initKinds(unsigned int size);
+  inline void adoptKinds(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownKinds();
+
+  inline  ::uint32_t getPlainBytes();
+  inline void setPlainBytes( ::uint32_t value);
+
+  inline bool hasSources();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getSources();
+  inline void setSources( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setSources(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initSources(unsigned int size);
+  inline void adoptSources(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSources();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1030,6 +1143,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool KindList::Reader::hasKinds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KindList::Builder::hasKinds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader KindList::Reader::getKinds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder KindList::Builder::getKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KindList::Builder::setKinds( ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder KindList::Builder::initKinds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KindList::Builder::adoptKinds(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>> KindList::Builder::disownKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::int64_t CacheChanges::Reader::getAgeUs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1044,6 +1191,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CacheChanges::Reader::getListIsSure() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool CacheChanges::Builder::getListIsSure() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void CacheChanges::Builder::setListIsSure(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CacheChanges::Reader::hasKinds() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1052,44 +1213,82 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader CacheChanges::Reader::getKinds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader CacheChanges::Reader::getKinds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder CacheChanges::Builder::getKinds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder CacheChanges::Builder::getKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CacheChanges::Builder::setKinds( ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void CacheChanges::Builder::setKinds( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>::Builder CacheChanges::Builder::initKinds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder CacheChanges::Builder::initKinds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void CacheChanges::Builder::adoptKinds(
-    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>> CacheChanges::Builder::disownKinds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::KindChanges,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> CacheChanges::Builder::disownKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CacheChanges::Reader::getListIsSure() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CacheChanges::Reader::getPlainBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool CacheChanges::Builder::getListIsSure() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CacheChanges::Builder::getPlainBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CacheChanges::Builder::setListIsSure(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void CacheChanges::Builder::setPlainBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CacheChanges::Reader::hasSources() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CacheChanges::Builder::hasSources() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CacheChanges::Reader::getSources() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CacheChanges::Builder::getSources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CacheChanges::Builder::setSources( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CacheChanges::Builder::setSources(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CacheChanges::Builder::initSources(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CacheChanges::Builder::adoptSources(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CacheChanges::Builder::disownSources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -6,6 +6,7 @@
 #include <capnp/serialize.h>
 #include <cstring>
 #include <kj/exception.h>
+#include <zlib.h>
 
 namespace amaranthhoist {
 
@@ -13,6 +14,14 @@
 /// one of its size needs, and little work for one made to be costly.
 static constexpr std::uint64_t LeastReadLimit = 65'536;
 static constexpr std::uint64_t ReadLimitPerWord = 8;
+/// Shorter kinds aren't worth compressing: a few objects that changed.
+static constexpr std::size_t LeastCompressed = 2'048;
+/// Fastest level: 4 ms for 378 KB; the best one saves a fifth of the bytes more
+/// and takes five times as long.
+static constexpr int CompressionLevel = 1;
+/// Whole lists at the largest fleet in view (7,000 servers of 350 bytes) take a
+/// tenth of this. A peer that says more is not believed.
+static constexpr std::size_t MostPlainBytes = 32U << 20U;
 
 static std::string toBytes(capnp::MessageBuilder &Builder) {
   const kj::Array<capnp::word> Words = capnp::messageToFlatArray(Builder);
@@ -60,10 +69,9 @@
   return Datagram;
 }
 
-static std::optional<cache_changes> read(datagram::CacheChanges::Reader Root) {
-  cache_changes Answer;
-  Answer.Age = duration(Root.getAgeUs());
-  Answer.ListIsSure = Root.getListIsSure();
+static std::optional<std::vector<kind_changes>>
+read(datagram::KindList::Reader Root) {
+  std::vector<kind_changes> Kinds;
   for (const auto Kind : Root.getKinds()) {
     if (Kind.getKind() >= ObjectKinds)
       return std::nullopt;
@@ -75,9 +83,31 @@
       Changes.Changes.push_back({Change.getName().cStr(), Change.getIsDeleted(),
                                  Change.getRevision(),
                                  Change.getText().cStr()});
-    Answer.Kinds.push_back(std::move(Changes));
+    Kinds.push_back(std::move(Changes));
   }
-  return Answer;
+  return Kinds;
+}
+
+namespace {
+
+/// A CacheChanges message, its kinds still packed.
+struct packed_changes {
+  cache_changes Changes;
+  packed_kinds Kinds;
+};
+
+} // namespace
+
+static std::optional<packed_changes> read(datagram::CacheChanges::Reader Root) {
+  packed_changes Packed;
+  Packed.Changes.Age = duration(Root.getAgeUs());
+  Packed.Changes.ListIsSure = Root.getListIsSure();
+  for (const auto Source : Root.getSources())
+    Packed.Changes.Sources.emplace_back(Source.cStr());
+  const auto Kinds = Root.getKinds().asChars();
+  Packed.Kinds.Bytes.assign(Kinds.begin(), Kinds.size());
+  Packed.Kinds.PlainSize = Root.getPlainBytes();
+  return Packed;
 }
 
 /// Reads a message of type \p Message; none when \p Bytes are no such.
@@ -108,14 +138,12 @@
   return decode<datagram::Datagram>(Bytes);
 }
 
-std::string encodeChanges(const cache_changes &Changes) {
+static std::string encodeKinds(const std::vector<kind_changes> &All) {
   capnp::MallocMessageBuilder Builder;
-  auto Root = Builder.initRoot<datagram::CacheChanges>();
-  Root.setAgeUs(Changes.Age.count());
-  Root.setListIsSure(Changes.ListIsSure);
-  auto Kinds = Root.initKinds(static_cast<unsigned>(Changes.Kinds.size()));
+  auto Kinds = Builder.initRoot<datagram::KindList>().initKinds(
+      static_cast<unsigned>(All.size()));
   for (unsigned Index = 0; Index < Kinds.size(); ++Index) {
-    const kind_changes &Kind = Changes.Kinds[Index];
+    const kind_changes &Kind = All[Index];
     Kinds[Index].setKind(static_cast<std::uint8_t>(Kind.Kind));
     Kinds[Index].setAtRevision(Kind.AtRevision);
     Kinds[Index].setIsFull(Kind.IsFull);
@@ -131,8 +159,75 @@
   return toBytes(Builder);
 }
 
+packed_kinds packKinds(const std::vector<kind_changes> &Kinds) {
+  if (Kinds.empty())
+    return {};
+  packed_kinds Packed{encodeKinds(Kinds), 0};
+  if (Packed.Bytes.size() < LeastCompressed)
+    return Packed;
+  uLongf Size = compressBound(Packed.Bytes.size());
+  std::string Compressed(Size, '\0');
+  const int Outcome =
+      compress2(reinterpret_cast<Bytef *>(Compressed.data()), &Size,
+                reinterpret_cast<const Bytef *>(Packed.Bytes.data()),
+                Packed.Bytes.size(), CompressionLevel);
+  // Out of memory: the plain bytes do as well.
+  if (Outcome != Z_OK)
+    return Packed;
+  Compressed.resize(Size);
+  return {std::move(Compressed), Packed.Bytes.size()};
+}
+
+/// None when \p Packed isn't what packKinds() makes.
+static std::optional<std::vector<kind_changes>>
+unpackKinds(const packed_kinds &Packed) {
+  if (Packed.Bytes.empty())
+    return std::vector<kind_changes>();
+  if (Packed.PlainSize == 0)
+    return decode<datagram::KindList>(Packed.Bytes);
+  if (Packed.PlainSize > MostPlainBytes)
+    return std::nullopt;
+  std::string Plain(Packed.PlainSize, '\0');
+  uLongf Size = Plain.size();
+  const int Outcome =
+      uncompress(reinterpret_cast<Bytef *>(Plain.data()), &Size,
+                 reinterpret_cast<const Bytef *>(Packed.Bytes.data()),
+                 Packed.Bytes.size());
+  if (Outcome != Z_OK || Size != Plain.size())
+    return std::nullopt;
+  return decode<datagram::KindList>(Plain);
+}
+
+std::string encodeChanges(const cache_changes &Changes,
+                          const packed_kinds &Kinds) {
+  capnp::MallocMessageBuilder Builder;
+  auto Root = Builder.initRoot<datagram::CacheChanges>();
+  Root.setAgeUs(Changes.Age.count());
+  Root.setListIsSure(Changes.ListIsSure);
+  Root.setKinds(capnp::Data::Reader(
+      reinterpret_cast<const kj::byte *>(Kinds.Bytes.data()),
+      Kinds.Bytes.size()));
+  Root.setPlainBytes(static_cast<std::uint32_t>(Kinds.PlainSize));
+  auto Sources =
+      Root.initSources(static_cast<unsigned>(Changes.Sources.size()));
+  for (unsigned Index = 0; Index < Sources.size(); ++Index)
+    Sources.set(Index, Changes.Sources[Index]);
+  return toBytes(Builder);
+}
+
+std::string encodeChanges(const cache_changes &Changes) {
+  return encodeChanges(Changes, packKinds(Changes.Kinds));
+}
+
 std::optional<cache_changes> decodeChanges(std::string_view Bytes) {
-  return decode<datagram::CacheChanges>(Bytes);
+  auto Packed = decode<datagram::CacheChanges>(Bytes);
+  if (!Packed)
+    return std::nullopt;
+  auto Kinds = unpackKinds(Packed->Kinds);
+  if (!Kinds)
+    return std::nullopt;
+  Packed->Changes.Kinds = std::move(*Kinds);
+  return std::move(Packed->Changes);
 }
 
 } // namespace amaranthhoist
--- a/Libraries/StoreClient/list_watch.cpp
+++ b/Libraries/StoreClient/list_watch.cpp
@@ -7,17 +7,18 @@
 namespace amaranthhoist {
 
 store_request nextRequest(const list_watch &Watch) {
-  return {Watch.Next, Watch.After, Watch.Revision};
+  return {Watch.Next, Watch.After, Watch.Revision, Watch.MayBeStale};
 }
 
 std::vector<stored_object> *takePage(list_watch &Watch, list_page Page) {
   Watch.FailuresInARow = 0;
   if (Watch.After.empty()) {
     Watch.Pages.clear();
-    // Later pages may show later revisions: watching from the first one's
-    // misses nothing, and applying a change twice does no harm.
-    Watch.FirstPageRevision = Page.AtRevision;
+    Watch.LeastRevision = Page.AtRevision;
   }
+  // Pages may show different revisions: watching from the least one misses
+  // nothing, and applying a change twice does no harm.
+  Watch.LeastRevision = std::min(Watch.LeastRevision, Page.AtRevision);
   std::move(Page.Items.begin(), Page.Items.end(),
             std::back_inserter(Watch.Pages));
   if (Page.HasMore && !Watch.Pages.empty()) {
@@ -26,7 +27,8 @@
   }
   Watch.After.clear();
   Watch.Next = store_verb::Watch;
-  Watch.Revision = Watch.FirstPageRevision;
+  Watch.Revision = Watch.LeastRevision;
+  Watch.MayBeStale = false;
   return &Watch.Pages;
 }
 
@@ -39,6 +41,7 @@
 void listAnew(list_watch &Watch) {
   Watch.Next = store_verb::List;
   Watch.After.clear();
+  Watch.MayBeStale = false;
 }
 
 duration takeFailure(list_watch &Watch, store_failure Failure) {
--- a/Libraries/StoreClient/list_watch.h
+++ b/Libraries/StoreClient/list_watch.h
@@ -62,6 +62,9 @@
   std::string After;
   /// Watch: changes behind this revision.
   std::uint64_t Revision = 0;
+  /// List: may show the store as it was some seconds ago, which costs it a
+  /// tenth. What came since is told by the watch, or by peers.
+  bool MayBeStale = false;
 };
 
 /// Waits between calls. All are short enough that a change is known well
@@ -82,7 +85,10 @@
   std::uint64_t Revision = 0;
   /// Pages of the list under way.
   std::vector<stored_object> Pages;
-  std::uint64_t FirstPageRevision = 0;
+  /// The least of the pages: what came behind it may be missing from one.
+  std::uint64_t LeastRevision = 0;
+  /// Until the first list: this instance holds nothing newer.
+  bool MayBeStale = true;
   int FailuresInARow = 0;
 };
 
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -36,7 +36,10 @@
   IsRunning = true;
   // What came from others meanwhile needn't be asked for again.
   const auto &Known = Beliefs.cache().Kinds[static_cast<std::size_t>(Kind)];
-  if (Known.HasState && Known.AtRevision > Watch.Revision) {
+  if (MustList) {
+    listAnew(Watch);
+    MustList = false;
+  } else if (Known.HasState && Known.AtRevision > Watch.Revision) {
     Watch.Revision = Known.AtRevision;
     Watch.Next = store_verb::Watch;
   }
@@ -49,6 +52,11 @@
   Caller.abandon();
 }
 
+void kind_follower::pause() {
+  MustList = MustList || IsRunning;
+  stop();
+}
+
 void kind_follower::step() {
   const store_request Request = nextRequest(Watch);
   const bool IsWatch = Request.Verb == store_verb::Watch;
--- a/Services/Node/kind_follower.h
+++ b/Services/Node/kind_follower.h
@@ -19,8 +19,11 @@
   /// Begins, goes on after stop(), or makes the call under way anew: the store
   /// may have forgotten it without a sign on its connection.
   void startOrRestart();
-  /// Makes no more calls until start().
+  /// Makes no more calls until startOrRestart().
   void stop();
+  /// Likewise, as the store is silent: it may forget what waits there, so that
+  /// the next call is a list.
+  void pause();
 
 private:
   void step();
@@ -39,6 +42,7 @@
   timer_id NextStep = 0;
   duration Wait{};
   bool IsRunning = false;
+  bool MustList = false;
   bool IsAway = false;
 };
 
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -48,7 +48,9 @@
   node_program(node_settings Settings, const wire_names &Wire,
                std::string SettingsFile)
       : SettingsFile(std::move(SettingsFile)), Node(std::move(Settings), Wire),
-        Pool(Node), Callers(Node, Pool), Store(Node), Peers(Node),
+        Pool(Node), Callers(Node, Pool),
+        Store(Node, [this](const auto &Address) { Peers.tell(Address); }),
+        Peers(Node, [this](const auto &Control) { Store.hear(Control); }),
         PeerServer(
             Node.Loop,
             [this](auto Path, auto Query) { return answerPeer(Path, Query); }),
@@ -124,12 +126,12 @@
     return {Node.isReady() ? 200 : 503, "application/json", "{}"};
   }
 
-  small_answer answerPeer(std::string_view Path, std::string_view Query) const {
+  small_answer answerPeer(std::string_view Path, std::string_view Query) {
     if (Path == "/v1/status")
       return {200, "application/json", encodeStatus(Node, Store)};
-    if (Path != "/v1/changes")
+    if (Path != ChangesPath)
       return {404, "application/json", "{}"};
-    return {200, "application/octet-stream", Store.answerPeer(Query)};
+    return Store.answerPeer(Query);
   }
 
   result<bool> watchSignals() {
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -13,7 +13,8 @@
 /// Larger than any datagram that is sent.
 static constexpr std::size_t MaxDatagram = 8'192;
 
-peer_link::peer_link(node &Node) : Node(Node) {
+peer_link::peer_link(node &Node, std::function<void(const std::string &)> Heard)
+    : Node(Node), Heard(std::move(Heard)) {
   Node.Fleet.Membership.Policy.ProbePeriod = std::chrono::milliseconds(500);
   Node.Fleet.Membership.Random.seed(stableHash(Node.Settings.Instance));
   setOwnMembers(Node.Fleet.Membership, {Node.Settings.Instance});
@@ -44,6 +45,12 @@
          reinterpret_cast<const sockaddr *>(&Address), sizeof Address);
 }
 
+void peer_link::tell(const std::string &Address) {
+  // A probe of nobody: it wants no answer, and shows its sender's address.
+  if (auto To = parseEndpoint(Address))
+    send({}, *To);
+}
+
 void peer_link::sendAll(std::span<const outgoing_membership_message> Messages) {
   for (const outgoing_membership_message &Outgoing : Messages) {
     auto Member = Node.Fleet.Members.find(Outgoing.To);
@@ -75,7 +82,7 @@
     return;
   if (!Node.isReady()) {
     // Silence keeps it out of the others' look-ups until it can serve.
-    noteSource(Node.Fleet, Datagram->Control);
+    Heard(Datagram->Control);
     return;
   }
   const auto Answers =
--- a/Services/Node/peer_link.h
+++ b/Services/Node/peer_link.h
@@ -6,16 +6,22 @@
 #include "PeerMessages/peer_messages.h"
 #include "node.h"
 
+#include <functional>
 #include <string>
 
 namespace amaranthhoist {
 
 class peer_link : private io_handler {
 public:
-  explicit peer_link(node &Node);
+  /// \p Heard gets the control addresses of instances that send datagrams
+  /// while this one can't serve yet.
+  peer_link(node &Node, std::function<void(const std::string &)> Heard);
   ~peer_link() override;
 
   result<bool> listen(const endpoint &Endpoint);
+  /// Tells the instance that takes datagrams at \p Address, `ip:port`, that
+  /// this one has the store's objects.
+  void tell(const std::string &Address);
   /// Tells all others that this node leaves, and falls silent.
   void leave();
 
@@ -28,6 +34,7 @@
   void reportChanges();
 
   node &Node;
+  std::function<void(const std::string &)> Heard;
   int Descriptor = -1;
   bool HasLeft = false;
   std::set<std::string> ReportedDown;
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -1,28 +1,28 @@
 #include "relay_link.h"
 
-#include "Fleet/relays.h"
-#include "HttpConnection/small_server.h"
 #include "PeerMessages/peer_messages.h"
+#include "StateSpread/spread_tree.h"
+#include "StateSpread/store_duty.h"
+#include "state_server.h"
 
 namespace amaranthhoist {
 
-/// Time between two polls. A change passes the watcher's pause and one poll on
-/// its way, 0.7 s together, well under the 2.5 s in which it must be in force.
+/// Time between two polls. On its longest way a change passes a watcher's
+/// pause, a relay's poll and another one, 0.9 s together; it must be in force
+/// within 2.5 s.
 static constexpr duration PollPeriod = std::chrono::milliseconds(400);
+/// Of a relay, of which there are few.
+static constexpr duration RelayPollPeriod = std::chrono::milliseconds(200);
 /// A source answers within a round trip between the farthest regions, and the
-/// time that a small machine needs to make a whole list.
+/// time that a small machine needs to make its answer.
 static constexpr duration PollTime = std::chrono::milliseconds(700);
-/// Tries with the watchers before others are asked.
-static constexpr std::size_t TriesWithWatchers = 4;
-/// After so many answers from others the watchers are tried again.
+/// Tries with the regular sources before others are asked.
+static constexpr std::size_t TriesWithRegular = 4;
+/// After so many answers from others the regular ones are tried again.
 static constexpr int AnswersBeforeReturn = 10;
-/// State older than this at its source is no use: another source is asked.
-static constexpr duration OldState = std::chrono::milliseconds(1'500);
 
-relay_link::relay_link(node &Node, beliefs &Beliefs,
-                       std::function<duration()> OwnAge)
-    : Node(Node), Beliefs(Beliefs), OwnAge(std::move(OwnAge)),
-      Caller(Node, {}) {}
+relay_link::relay_link(node &Node, beliefs &Beliefs)
+    : Node(Node), Beliefs(Beliefs), Caller(Node, {}) {}
 
 void relay_link::start() {
   if (IsRunning)
@@ -39,64 +39,42 @@
   Caller.abandon();
 }
 
-std::string relay_link::answer(std::string_view Query) const {
-  known_revisions Known{};
-  const std::string Value = queryValue(Query, "known");
-  const auto Texts = split(Value, ',');
-  for (std::size_t Index = 0; Index < Known.size() && Index < Texts.size();
-       ++Index)
-    Known[Index] = parseNumber<std::uint64_t>(Texts[Index]).value_or(0);
-  cache_changes Changes = changesSince(Beliefs.cache(), Known);
-  Changes.Age = OwnAge();
-  Changes.ListIsSure = Beliefs.listIsSure();
-  return encodeChanges(Changes);
-}
-
-/// The region's watchers by turns, then everybody, one after the other.
+/// The regular sources by turns, then everybody, one after the other; the seeds
+/// while nobody is listed, as at the very first start.
 void relay_link::chooseSource() {
-  auto Sources = watchers(Node.Fleet);
-  std::erase(Sources, &Node.Fleet.Own);
+  auto Sources = regularSources(Node.Fleet);
   std::size_t At = Misses;
-  if (Sources.empty() || Misses >= TriesWithWatchers) {
-    At = Misses >= TriesWithWatchers ? Misses - TriesWithWatchers : Misses;
+  if (Sources.empty() || Misses >= TriesWithRegular) {
+    // Each from a place of its own, so that not all ask the same one.
+    At += stableHash(Node.Settings.Instance);
     Sources = furtherSources(Node.Fleet);
   }
-  const std::string Before = SourceName;
-  if (Sources.empty()) {
-    chooseSeed();
+  if (!Sources.empty()) {
+    const fleet_member &Source = *Sources[At % Sources.size()];
+    setSource(Source.Name, Source.Control);
     return;
   }
-  const fleet_member &Source = *Sources[At % Sources.size()];
-  SourceName = Source.Name;
-  if (SourceName == Before)
-    return;
-  Caller.setServer(Source.Control);
-  Node.Log.write(log_kind::Belief, "relay_source", {{"peer", SourceName}},
-                 Node.Loop.now());
-}
-
-/// Without the list of instances there are those that sent a datagram, which
-/// know more than a node that has just started, and those in the settings,
-/// which may be as new as this one or gone.
-void relay_link::chooseSeed() {
-  std::vector<std::string> Seeds = Node.Fleet.Sources;
-  Seeds.insert(Seeds.end(), Node.Settings.Seeds.begin(),
-               Node.Settings.Seeds.end());
+  std::vector<std::string> Seeds = Node.Settings.Seeds;
   std::erase(Seeds, Node.Settings.Listen.Control);
-  SourceName = Seeds.empty() ? "" : Seeds[Misses % Seeds.size()];
-  if (!SourceName.empty())
-    Caller.setServer(SourceName);
+  const std::string Seed = Seeds.empty() ? "" : Seeds[At % Seeds.size()];
+  setSource(Seed, Seed);
 }
 
-static std::string encodeKnown(const object_cache &Cache) {
-  std::string Text = "/v1/changes?known=";
-  for (std::uint64_t Revision : knownRevisions(Cache))
-    append(Text, Revision, ",");
-  return Text;
+void relay_link::setSource(const std::string &Name,
+                           const std::string &Control) {
+  if (SourceName == Name)
+    return;
+  SourceName = Name;
+  if (Name.empty())
+    return;
+  Caller.setServer(Control);
+  Node.Log.write(log_kind::Belief, "relay_source", {{"peer", Name}},
+                 Node.Loop.now());
 }
 
 void relay_link::poll() {
-  NextPoll = Node.Loop.after(PollPeriod, [this] {
+  const bool IsRelay = ownRole(Node.Fleet) == spread_role::Relay;
+  NextPoll = Node.Loop.after(IsRelay ? RelayPollPeriod : PollPeriod, [this] {
     NextPoll = 0;
     poll();
   });
@@ -106,18 +84,20 @@
   chooseSource();
   if (SourceName.empty())
     return;
-  Caller.call("GET", encodeKnown(Beliefs.cache()), {}, PollTime,
+  Caller.call("GET", changesQuestion(Node, Beliefs.cache()), {}, PollTime,
               [this](const store_answer &Answer) { take(Answer); });
 }
 
 void relay_link::take(const store_answer &Answer) {
   auto Changes = Answer.Status == 200 ? decodeChanges(Answer.Body)
                                       : std::optional<cache_changes>();
+  if (Changes)
+    AnsweredAt = Node.Loop.now();
   if (!Changes || Changes->Age > OldState) {
     ++Misses;
     return;
   }
-  if (Misses < TriesWithWatchers || ++FurtherAnswers >= AnswersBeforeReturn) {
+  if (Misses < TriesWithRegular || ++FurtherAnswers >= AnswersBeforeReturn) {
     Misses = 0;
     FurtherAnswers = 0;
   }
--- a/Services/Node/relay_link.h
+++ b/Services/Node/relay_link.h
@@ -1,5 +1,5 @@
-/// Learns the store's objects from other instances, and hands on what this one
-/// knows. Asked by short polls: a source that has died shows within one.
+/// Follows what changes in the store's objects by asking another instance, in
+/// short polls: a source that has died shows within one.
 #pragma once
 
 #include "beliefs.h"
@@ -7,46 +7,42 @@
 #include "store_caller.h"
 
 #include <cstdint>
-#include <functional>
 #include <string>
 
 namespace amaranthhoist {
 
 class relay_link {
 public:
-  /// \p OwnAge tells how long ago this instance heard from the store, directly
-  /// or through others.
-  relay_link(node &Node, beliefs &Beliefs, std::function<duration()> OwnAge);
+  relay_link(node &Node, beliefs &Beliefs);
 
   void start();
   void stop();
   /// When the state that was last taken over was fresh at the store.
   [[nodiscard]] instant freshAt() const { return FreshAt; }
+  /// When an instance last answered, with whatever state.
+  [[nodiscard]] instant answeredAt() const { return AnsweredAt; }
 
   /// The instance that is asked; empty: none yet.
   [[nodiscard]] const std::string &sourceName() const { return SourceName; }
 
-  /// The body for an instance that asks with \p Query.
-  std::string answer(std::string_view Query) const;
-
 private:
   void poll();
   void take(const store_answer &Answer);
   void chooseSource();
-  void chooseSeed();
+  void setSource(const std::string &Name, const std::string &Control);
 
   node &Node;
   beliefs &Beliefs;
-  std::function<duration()> OwnAge;
   store_caller Caller;
   timer_id NextPoll = 0;
   bool IsRunning = false;
   std::string SourceName;
   /// Sources in a row that were no use.
   std::size_t Misses = 0;
-  /// Answers in a row from a source that isn't a watcher.
+  /// Answers in a row from a source that isn't a regular one.
   int FurtherAnswers = 0;
   instant FreshAt{};
+  instant AnsweredAt{};
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/status.cpp
+++ b/Services/Node/status.cpp
@@ -42,6 +42,7 @@
       {"version", configurationVersion(Node)},
       {"version_age_ms", inMilliseconds(View.ConfigurationAge)},
       {"learns_from", View.LearnsFrom},
+      {"role", View.Role},
       {"state_age_ms", inMilliseconds(View.Age)},
       {"store_silent", View.StoreIsSilent},
       {"list_sure", View.ListIsSure},
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -1,16 +1,21 @@
-/// Decides from whom the node learns the store's objects: two instances of each
-/// region ask the store itself, the others ask them, and each falls back on the
-/// other way, or on any instance, when its own gives nothing fresh. Also keeps
-/// this node's own object in the store.
+/// Decides from whom the node learns the store's objects: from peers while they
+/// know, from the store itself when it is this node's turn (StateSpread). Tells
+/// others where the state is after a start, and keeps this node's own object in
+/// the store.
 #pragma once
 
+#include "StateSpread/store_duty.h"
 #include "beliefs.h"
 #include "kind_follower.h"
+#include "learner.h"
 #include "node.h"
+#include "own_object.h"
 #include "relay_link.h"
+#include "state_server.h"
 #include "store_caller.h"
 
 #include <array>
+#include <functional>
 
 namespace amaranthhoist {
 
@@ -18,6 +23,8 @@
 struct store_view {
   /// "store", or the name of the instance that is asked.
   std::string LearnsFrom;
+  /// What it does for others: "watcher", "relay" or "leaf".
+  std::string_view Role;
   /// How long ago the state was fresh at the store, at best.
   duration Age{};
   /// Since the configuration in force was applied; zero: none yet.
@@ -28,46 +35,53 @@
 
 class store_sync {
 public:
-  explicit store_sync(node &Node);
+  /// \p Tell tells the instance that takes datagrams at an address that this
+  /// one has the state.
+  store_sync(node &Node, std::function<void(const std::string &)> Tell);
 
   void start();
-  /// The body for an instance that asks what changed.
-  std::string answerPeer(std::string_view Query) const {
-    return Relay.answer(Query);
+  /// An instance with the control address \p Control lives.
+  void hear(const std::string &Control) { Learner.hear(Control); }
+  /// The answer to an instance that asks what changed.
+  small_answer answerPeer(std::string_view Query) {
+    return Server.answer(Query);
   }
   [[nodiscard]] store_view view() const;
 
 private:
   void decide();
+  void decideWhileLearning();
+  void takeLearned();
   void setDirect(bool IsWanted);
   /// How long ago the state was fresh at the store, at best.
   duration age() const;
+  instant freshAt() const;
+  void startFollowers();
   void probe();
   void takeProbe(bool IsAnswered);
   void takeReturn();
-  void listInstances();
-  void takeInstances(const list_page &Page);
-  void registerNode(bool Create);
   void removeDead();
 
   node &Node;
+  std::function<void(const std::string &)> Tell;
   beliefs Beliefs;
   std::array<kind_follower, ObjectKinds> Followers;
+  learner Learner;
   relay_link Relay;
-  store_caller Writer;
+  state_server Server;
+  own_object OwnObject;
   store_caller Prober;
   store_caller Cleaner;
+  store_duty Duty;
+  bool HasLearned = false;
+  instant LearnedAt{};
   bool IsDirect = false;
-  /// Whether the list of instances was read once.
-  bool KnowsInstances = false;
   /// Whether the store's next answer is awaited before anything is asked.
   bool IsInDoubt = false;
   /// Whether a probe went unanswered since the last answer.
   bool HadSilence = false;
   timer_id NextProbe = 0;
-  instant Started{};
   instant AnsweredAt{};
-  instant DirectUntil{};
   std::map<std::string, instant> DownSince;
 };
 
--- a/Tests/fleet_test.cpp
+++ b/Tests/fleet_test.cpp
@@ -1,7 +1,7 @@
 // Which instances callers are told to use, and which of them ask the store.
 
 #include "Fleet/fleet.h"
-#include "Fleet/relays.h"
+#include "StateSpread/spread_tree.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -86,15 +86,6 @@
   LONGS_EQUAL(11, addressesFor(Fleet, "a1", "a").size());
 }
 
-TEST(Fleet, AFewSourcesAreRememberedOnce) {
-  fleet Fleet = makeFleet({});
-  for (int Round = 0; Round < 2; ++Round)
-    for (int Number = 0; Number < 50; ++Number)
-      noteSource(Fleet, "n" + std::to_string(Number));
-  noteSource(Fleet, "");
-  LONGS_EQUAL(8, Fleet.Sources.size());
-}
-
 // Symptom: callers lose a second at an instance that is long dead. Cause: a
 // look-up that names what the store lists, where nothing expires.
 TEST(Fleet, InstancesThatAreDownAreNotNamed) {
@@ -114,12 +105,12 @@
   LONGS_EQUAL(2, Watchers.size());
   CHECK_EQUAL(std::string("n2"), Watchers[0]->Name);
   CHECK_EQUAL(std::string("n3"), Watchers[1]->Name);
-  CHECK_FALSE(isWatcher(Fleet));
+  CHECK(ownRole(Fleet) != spread_role::Watcher);
   // The loss of a watcher makes another one.
   markDown(Fleet, "n3");
   markDown(Fleet, "n2");
   LONGS_EQUAL(2, watchers(Fleet).size());
-  CHECK(isWatcher(Fleet));
+  CHECK(ownRole(Fleet) == spread_role::Watcher);
 }
 
 // Symptom: a node that the store turns away works on with old state. Cause: a
--- a/Utilities/install-packages.sh
+++ b/Utilities/install-packages.sh
@@ -10,4 +10,5 @@
   libabsl-dev libcapnp-dev libboost-dev libyaml-cpp-dev libmicrohttpd-dev \
   libcurl4-openssl-dev libcxxopts-dev liblog4cxx-dev libexpected-dev \
   libcpputest-dev nlohmann-json3-dev libxxhash-dev libhttp-parser-dev \
+  zlib1g-dev \
   clang-format clang-tidy >/dev/null
