Membership: a suspicion heard of is checked before it is believed

One prober missed an answer of a node whose link was full; all believed the hearsay, the node heard of it late, and its refutation travelled with two probes a second, always the first eight changed beliefs by name. Change: whoever hears of a suspicion probes the member, which tells it too, and drops it without an answer; news goes to two more members a tick; a message goes on where the last one ended. Ruled out: lost datagrams alone (one in 30,000 probes fails so).

--- a/Libraries/Membership/membership.cpp
+++ b/Libraries/Membership/membership.cpp
@@ -13,6 +13,9 @@
   });
   std::erase_if(Membership.NotUp,
                 [&](const std::string &Name) { return !Names.contains(Name); });
+  std::erase_if(Membership.Doubted, [&](const auto &Entry) {
+    return !Names.contains(Entry.first);
+  });
   for (const std::string &Name : Names)
     if (!Membership.Own.contains(Name))
       Membership.Members.try_emplace(Name);
@@ -33,6 +36,7 @@
     Membership.Own.try_emplace(Name, Own);
     Membership.Members.erase(Name);
     Membership.NotUp.erase(Name);
+    Membership.Doubted.erase(Name);
   }
 }
 
@@ -43,19 +47,51 @@
 bool isUp(const membership &Membership, const std::string &Name) {
   if (Membership.Own.contains(Name))
     return true;
-  auto Found = Membership.Members.find(Name);
-  return Found != Membership.Members.end() &&
-         Found->second.Status == member_status::Up;
+  return Membership.Members.contains(Name) && !Membership.NotUp.contains(Name);
+}
+
+/// Whether this instance is among those that check a rumour.
+static bool isChecker(membership &Membership) {
+  const std::size_t Others =
+      std::max<std::size_t>(Membership.Members.size(), 1);
+  return Membership.Random() % Others < Membership.Policy.Checkers;
+}
+
+/// Begins to doubt a member, by an own probe or by hearsay.
+static void doubt(membership &Membership, const std::string &Name,
+                  bool IsHearsay, instant Now) {
+  const membership_policy &Policy = Membership.Policy;
+  if (!IsHearsay) {
+    Membership.NotUp.insert(Name);
+    Membership.Doubted[Name] = {Now, Now};
+    return;
+  }
+  if (Membership.NotUp.contains(Name))
+    return;
+  if (isChecker(Membership))
+    Membership.Doubted[Name] = {Now, Now + Policy.RumourTime};
+  else
+    Membership.Doubted[Name] = {Now + Policy.RumourTime,
+                                Now + 2 * Policy.RumourTime};
 }
 
 static void change(membership &Membership, const std::string &Name,
-                   member_state &Member, member_status Status, instant Now) {
-  if (Status == member_status::Suspect)
-    Member.SuspectSince = Now;
-  if (Status == member_status::Up)
+                   member_state &Member, member_status Status, bool IsHearsay,
+                   instant Now) {
+  if (Status != member_status::Suspect)
+    Membership.Doubted.erase(Name);
+  switch (Status) {
+  case member_status::Up:
     Membership.NotUp.erase(Name);
-  else
+    break;
+  case member_status::Suspect:
+    Member.SuspectSince = Now;
+    doubt(Membership, Name, IsHearsay, Now);
+    break;
+  case member_status::Down:
     Membership.NotUp.insert(Name);
+    break;
+  }
   Member.Status = Status;
   Member.RepeatsLeft = Membership.Policy.BeliefRepeats;
   Membership.Changing.insert(Name);
@@ -69,9 +105,14 @@
     --Own.RepeatsLeft;
     Beliefs.push_back({Name, member_status::Up, Own.Counter});
   }
-  for (auto Name = Membership.Changing.begin();
-       Name != Membership.Changing.end() &&
-       Beliefs.size() < Membership.Policy.MaxBeliefsPerMessage;) {
+  // From where the last message ended, all of them once at most: always from
+  // the first one, the last of many changes would wait for seconds.
+  std::size_t Left = Membership.Changing.size();
+  auto Name = Membership.Changing.lower_bound(Membership.NextBelief);
+  while (Left-- > 0 &&
+         Beliefs.size() < Membership.Policy.MaxBeliefsPerMessage) {
+    if (Name == Membership.Changing.end())
+      Name = Membership.Changing.begin();
     auto Member = Membership.Members.find(*Name);
     const bool Rests = Member == Membership.Members.end() ||
                        (Member->second.RepeatsLeft <= 0 &&
@@ -86,6 +127,8 @@
     }
     ++Name;
   }
+  Membership.NextBelief =
+      Name == Membership.Changing.end() ? std::string() : *Name;
   return Beliefs;
 }
 
@@ -116,7 +159,8 @@
   if (!Newer)
     return;
   Member.Counter = Belief.Counter;
-  change(Membership, Belief.Name, Member, Belief.Status, Now);
+  change(Membership, Belief.Name, Member, Belief.Status, /*IsHearsay=*/true,
+         Now);
 }
 
 /// An answer of its own is better than any rumour: whoever answers is up.
@@ -128,7 +172,8 @@
     return;
   // One higher than the rumour, so that it wins everywhere.
   ++Found->second.Counter;
-  change(Membership, Name, Found->second, member_status::Up, Now);
+  change(Membership, Name, Found->second, member_status::Up,
+         /*IsHearsay=*/false, Now);
 }
 
 messages handleMembershipMessage(membership &Membership,
@@ -179,6 +224,8 @@
 static std::vector<std::string> pickHelpers(membership &Membership) {
   std::vector<std::string> Helpers;
   const std::size_t Size = Membership.Members.size();
+  if (Size == 0)
+    return Helpers;
   const std::size_t Tries = 4 * Membership.Policy.IndirectProbes;
   for (std::size_t Try = 0;
        Try < Tries && Helpers.size() < Membership.Policy.IndirectProbes;
@@ -214,7 +261,7 @@
   if (Found != Membership.Members.end() &&
       Found->second.Status == member_status::Up)
     change(Membership, Probe.Subject, Found->second, member_status::Suspect,
-           Now);
+           /*IsHearsay=*/false, Now);
   Probe = {};
 }
 
@@ -224,13 +271,58 @@
     if (Member != Membership.Members.end() &&
         Member->second.Status == member_status::Suspect &&
         Now >= Member->second.SuspectSince + Membership.Policy.SuspectTime)
-      change(Membership, Name, Member->second, member_status::Down, Now);
+      change(Membership, Name, Member->second, member_status::Down,
+             /*IsHearsay=*/false, Now);
+  }
+}
+
+/// Probes a member that is suspected, and tells it so: it refutes the suspicion
+/// with a higher counter, which then spreads as the suspicion did.
+static outgoing_membership_message recheck(const membership &Membership,
+                                           const std::string &Name) {
+  const member_state &Member = Membership.Members.at(Name);
+  // Nothing else: whoever is dead would take beliefs away from the living.
+  return {Name,
+          {kind::Ping, Name, {}, {{Name, Member.Status, Member.Counter}}}};
+}
+
+static void recheckDoubted(membership &Membership, instant Now,
+                           messages &Messages) {
+  std::size_t Checks = 0;
+  for (auto &[Name, Doubt] : Membership.Doubted) {
+    if (Now >= Doubt.UsableUntil)
+      Membership.NotUp.insert(Name);
+    if (Now < Doubt.NextCheck || Checks >= Membership.Policy.MostRechecks)
+      continue;
+    ++Checks;
+    Doubt.NextCheck = Now + Membership.Policy.RecheckPeriod;
+    Messages.push_back(recheck(Membership, Name));
   }
 }
 
+/// Sends news to a few members at once. By the probes alone, two a second, it
+/// takes five seconds until all of 295 know of a death, and as long until all
+/// know that a suspicion was false.
+static void spreadNews(membership &Membership, messages &Messages) {
+  const bool HasNews =
+      std::any_of(Membership.Changing.begin(), Membership.Changing.end(),
+                  [&](const std::string &Name) {
+                    auto Member = Membership.Members.find(Name);
+                    return Member != Membership.Members.end() &&
+                           Member->second.RepeatsLeft > 0;
+                  });
+  if (!HasNews)
+    return;
+  // A probe of nobody wants no answer.
+  for (const std::string &To : pickHelpers(Membership))
+    Messages.push_back(make(Membership, To, kind::Ping, {}, {}));
+}
+
 messages membershipTick(membership &Membership, instant Now) {
   messages Messages;
   timeOutSuspects(Membership, Now);
+  recheckDoubted(Membership, Now, Messages);
+  spreadNews(Membership, Messages);
   escalate(Membership, Now, Messages);
   if (Now < Membership.NextProbe || !Membership.Probe.Subject.empty())
     return Messages;
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -4,6 +4,13 @@
 /// the fleet. A member is a daemon; its instance's control answers for it, as
 /// long as the daemon shows signs of life.
 ///
+/// A suspicion that is only heard of is checked before it is believed. What
+/// goes wrong otherwise: a live member whose link is full for a moment misses
+/// one probe, everybody drops it, and hears of its answer seconds later; of 295
+/// instances two or three at a time were out of use for 4 s without a fault.
+/// So whoever hears of a suspicion probes the member itself, which also tells
+/// the member to refute it, and drops it when no answer comes.
+///
 /// Suspicion only reduces use: nothing here returns units or ends a key.
 /// Sans-I/O.
 #pragma once
@@ -53,7 +60,18 @@
   duration AckTimeout = std::chrono::milliseconds(300);
   duration SuspectTime = std::chrono::seconds(3);
   std::size_t IndirectProbes = 2;
-  std::size_t MaxBeliefsPerMessage = 8;
+  /// A suspected member is probed again this often by who suspects it.
+  duration RecheckPeriod = std::chrono::milliseconds(300);
+  /// A suspicion heard of is believed after so long without an answer of the
+  /// member: a trip between regions and a busy instance's pause, twice.
+  duration RumourTime = std::chrono::milliseconds(600);
+  /// Members that check a rumour at once, on average; the others wait as long
+  /// again for what those find. Bounds the probes that a live member gets.
+  std::size_t Checkers = 64;
+  /// Suspected members probed in one tick: when many die at once the rest
+  /// waits.
+  std::size_t MostRechecks = 4;
+  std::size_t MaxBeliefsPerMessage = 16;
   /// Messages that carry a changed belief before it rests.
   int BeliefRepeats = 12;
 };
@@ -66,6 +84,14 @@
   int RepeatsLeft = 0;
 };
 
+/// A member that is suspected, and not yet believed to be down.
+struct doubted_member {
+  /// When it is probed again.
+  instant NextCheck{};
+  /// From then on it counts as not up.
+  instant UsableUntil{};
+};
+
 /// A member answered for here.
 struct own_member {
   std::uint64_t Counter = 0;
@@ -89,7 +115,11 @@
   /// Members whose belief is still to be sent, or that are suspected: what a
   /// tick and a message look at, so that neither grows with the fleet.
   std::set<std::string> Changing;
-  /// Members that are suspected or down.
+  /// Where the next message goes on among them.
+  std::string NextBelief;
+  /// Members that are suspected and may still answer.
+  std::map<std::string, doubted_member> Doubted;
+  /// Members that are believed to be suspected or down.
   std::set<std::string> NotUp;
   /// Members still to be probed in this round.
   std::vector<std::string> Round;
@@ -114,10 +144,10 @@
 handleMembershipMessage(membership &Membership, const std::string &From,
                         const membership_message &Message, instant Now);
 
-/// The members that are suspected or down.
+/// The members that are believed to be suspected or down.
 const std::set<std::string> &downMembers(const membership &Membership);
 
-/// Whether \p Name may be used: known and not suspected.
+/// Whether \p Name may be used: known, and not believed to be suspected.
 bool isUp(const membership &Membership, const std::string &Name);
 
 } // namespace amaranthhoist
