StateSpread: a blind watcher asks other regions' watchers first

Ruled out: the leaves' own search, which began at 5.5 s for the same bound. Change: a failed call is followed by a probe at once; a node whose own calls are in vain leaves out its region's sources and begins with the watchers of other regions; state counts as old after 1 s; eight sources in a row are asked without the pause between polls.

--- a/Libraries/StateSpread/hand_out.cpp
+++ b/Libraries/StateSpread/hand_out.cpp
@@ -86,6 +86,7 @@
   if (Others.size() > MostReferrals)
     Others.resize(MostReferrals);
   std::vector<std::string> Addresses;
+  Addresses.reserve(Others.size());
   for (const new_instance *Other : Others)
     Addresses.push_back(Other->Control);
   return Addresses;
--- a/Libraries/StateSpread/spread_tree.cpp
+++ b/Libraries/StateSpread/spread_tree.cpp
@@ -1,6 +1,7 @@
 #include "StateSpread/spread_tree.h"
 
 #include <algorithm>
+#include <set>
 
 namespace amaranthhoist {
 
@@ -31,9 +32,9 @@
   return Members;
 }
 
-members watcherRanking(const fleet &Fleet) {
+static members rankingIn(const fleet &Fleet, const std::string &Region) {
   members Members = upByPreference(Fleet, [&](const fleet_member &Member) {
-    return Member.Region == Fleet.Own.Region;
+    return Member.Region == Region;
   });
   if (Members.size() <= WatchersPerRegion)
     return Members;
@@ -46,13 +47,21 @@
   return Members;
 }
 
-members watchers(const fleet &Fleet) {
-  members Members = watcherRanking(Fleet);
+members watcherRanking(const fleet &Fleet) {
+  return rankingIn(Fleet, Fleet.Own.Region);
+}
+
+static members watchersIn(const fleet &Fleet, const std::string &Region) {
+  members Members = rankingIn(Fleet, Region);
   if (Members.size() > WatchersPerRegion)
     Members.resize(WatchersPerRegion);
   return Members;
 }
 
+members watchers(const fleet &Fleet) {
+  return watchersIn(Fleet, Fleet.Own.Region);
+}
+
 static bool contains(const members &Members, const fleet_member *Wanted) {
   return std::find(Members.begin(), Members.end(), Wanted) != Members.end();
 }
@@ -92,31 +101,47 @@
                                                         : spread_role::Leaf;
 }
 
+/// Begins at a place of this instance's own, so that not all ask the same one.
+static void rotateByOwnName(const fleet &Fleet, members &Members) {
+  if (Members.empty())
+    return;
+  const auto First =
+      static_cast<std::ptrdiff_t>(stableHash(Fleet.Own.Name) % Members.size());
+  std::rotate(Members.begin(), Members.begin() + First, Members.end());
+}
+
 members regularSources(const fleet &Fleet) {
   members Sources = relaysOf(Fleet, watcherRanking(Fleet));
   if (Sources.empty() || contains(Sources, &Fleet.Own))
     Sources = watchers(Fleet);
   std::erase(Sources, &Fleet.Own);
-  if (!Sources.empty())
-    std::rotate(Sources.begin(),
-                Sources.begin() +
-                    static_cast<std::ptrdiff_t>(stableHash(Fleet.Own.Name) %
-                                                Sources.size()),
-                Sources.end());
+  rotateByOwnName(Fleet, Sources);
   return Sources;
 }
 
-members furtherSources(const fleet &Fleet) {
-  members Sources;
+static members watchersElsewhere(const fleet &Fleet) {
+  std::set<std::string> Regions;
+  for (const auto &[Name, Member] : Fleet.Members)
+    if (Member.Region != Fleet.Own.Region)
+      Regions.insert(Member.Region);
+  members Watchers;
+  for (const std::string &Region : Regions)
+    for (const fleet_member *Watcher : watchersIn(Fleet, Region))
+      Watchers.push_back(Watcher);
+  rotateByOwnName(Fleet, Watchers);
+  return Watchers;
+}
+
+members sourcesInOrder(const fleet &Fleet, bool IsBlind) {
+  members Sources = IsBlind ? members() : regularSources(Fleet);
+  for (const fleet_member *Watcher : watchersElsewhere(Fleet))
+    Sources.push_back(Watcher);
+  members Others;
   for (const auto &[Name, Member] : Fleet.Members)
-    if (isUp(Fleet.Membership, Name))
-      Sources.push_back(&Member);
-  std::stable_sort(Sources.begin(), Sources.end(),
-                   [&](const fleet_member *Left, const fleet_member *Right) {
-                     const bool LeftIsNear = Left->Region == Fleet.Own.Region;
-                     const bool RightIsNear = Right->Region == Fleet.Own.Region;
-                     return !LeftIsNear && RightIsNear;
-                   });
+    if (isUp(Fleet.Membership, Name) && !contains(Sources, &Member))
+      Others.push_back(&Member);
+  rotateByOwnName(Fleet, Others);
+  Sources.insert(Sources.end(), Others.begin(), Others.end());
   return Sources;
 }
 
--- a/Libraries/StateSpread/spread_tree.h
+++ b/Libraries/StateSpread/spread_tree.h
@@ -40,9 +40,12 @@
 /// failure domain, or the region's watchers. Empty: nobody but itself.
 std::vector<const fleet_member *> regularSources(const fleet &Fleet);
 
-/// Instances to learn from when none of the regular ones is of use: all that
-/// are up, others' regions first, since a cause that cuts this region off from
-/// the store may spare them.
-std::vector<const fleet_member *> furtherSources(const fleet &Fleet);
+/// Everybody to learn from, in the order in which they are asked while none is
+/// of use: the regular sources, the watchers of other regions, since a cause
+/// that cuts this region off from the store may spare them, and then all others
+/// that are up. One that is \p IsBlind itself, its own calls to the store being
+/// in vain, leaves out the regular ones: they would ask it, or are as blind.
+std::vector<const fleet_member *> sourcesInOrder(const fleet &Fleet,
+                                                 bool IsBlind);
 
 } // namespace amaranthhoist
--- a/Libraries/StateSpread/store_duty.h
+++ b/Libraries/StateSpread/store_duty.h
@@ -17,8 +17,8 @@
 namespace amaranthhoist {
 
 /// State older than this is no use to others: two polls along the longest way
-/// from a watcher, a trip between regions, and as much again.
-inline constexpr duration OldState = std::chrono::milliseconds(1'500);
+/// from a watcher, a trip between regions, and a third as much again.
+inline constexpr duration OldState = std::chrono::milliseconds(1'000);
 /// Instances of one region that ask the store at once at the most.
 inline constexpr std::size_t MostAskers = 8;
 
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -19,8 +19,9 @@
 /// For an answer to come back after the store's wait.
 static constexpr duration WatchMargin = std::chrono::milliseconds(1'000);
 
-kind_follower::kind_follower(node &Node, beliefs &Beliefs, object_kind Kind)
-    : Node(Node), Beliefs(Beliefs), Kind(Kind),
+kind_follower::kind_follower(node &Node, beliefs &Beliefs, object_kind Kind,
+                             std::function<void()> Failed)
+    : Node(Node), Beliefs(Beliefs), Kind(Kind), Failed(std::move(Failed)),
       Caller(Node, Node.Settings.Store) {}
 
 kind_follower::~kind_follower() { stop(); }
@@ -141,6 +142,7 @@
                       {"failure", static_cast<std::int64_t>(Failure)}},
                      Node.Loop.now());
     IsAway = true;
+    Failed();
   }
   stepAfter(Delay);
 }
--- a/Services/Node/kind_follower.h
+++ b/Services/Node/kind_follower.h
@@ -7,13 +7,16 @@
 #include "node.h"
 #include "store_caller.h"
 
+#include <functional>
 #include <string_view>
 
 namespace amaranthhoist {
 
 class kind_follower {
 public:
-  kind_follower(node &Node, beliefs &Beliefs, object_kind Kind);
+  /// \p Failed is called when the store doesn't answer a call.
+  kind_follower(node &Node, beliefs &Beliefs, object_kind Kind,
+                std::function<void()> Failed);
   ~kind_follower();
 
   /// Begins, goes on after stop(), or makes the call under way anew: the store
@@ -37,6 +40,7 @@
   node &Node;
   beliefs &Beliefs;
   object_kind Kind;
+  std::function<void()> Failed;
   store_caller Caller;
   list_watch Watch;
   timer_id NextStep = 0;
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -16,18 +16,23 @@
 /// A source answers within a round trip between the farthest regions, and the
 /// time that a small machine needs to make its answer.
 static constexpr duration PollTime = std::chrono::milliseconds(700);
-/// Tries with the regular sources before others are asked.
-static constexpr std::size_t TriesWithRegular = 4;
+/// After an answer that was no use the next source is asked at once, so that a
+/// region whose watchers can't reach the store finds fresh state within a few
+/// trips. But for so many times only: nobody has any while the store is away.
+static constexpr std::size_t QuickTries = 8;
+static constexpr duration QuickPoll = std::chrono::milliseconds(50);
 /// After so many answers from others the regular ones are tried again.
 static constexpr int AnswersBeforeReturn = 10;
 
 relay_link::relay_link(node &Node, beliefs &Beliefs)
     : Node(Node), Beliefs(Beliefs), Caller(Node, {}) {}
 
-void relay_link::start() {
-  if (IsRunning)
+void relay_link::start(bool OwnCallsAreInVain) {
+  if (IsRunning && IsBlind == OwnCallsAreInVain)
     return;
+  stop();
   IsRunning = true;
+  IsBlind = OwnCallsAreInVain;
   Misses = 0;
   SourceName.clear();
   poll();
@@ -39,23 +44,21 @@
   Caller.abandon();
 }
 
-/// The regular sources by turns, then everybody, one after the other; the seeds
-/// while nobody is listed, as at the very first start.
+/// The seeds stand for sources while nobody is listed, as at the very first
+/// start.
 void relay_link::chooseSource() {
   auto Sources = regularSources(Node.Fleet);
-  std::size_t At = Misses;
-  if (Sources.empty() || Misses >= TriesWithRegular) {
-    // Each from a place of its own, so that not all ask the same one.
-    At += stableHash(Node.Settings.Instance);
-    Sources = furtherSources(Node.Fleet);
-  }
+  // The whole order takes a look at all instances.
+  if (IsBlind || Misses >= Sources.size())
+    Sources = sourcesInOrder(Node.Fleet, IsBlind);
   if (!Sources.empty()) {
-    const fleet_member &Source = *Sources[At % Sources.size()];
+    const fleet_member &Source = *Sources[Misses % Sources.size()];
     setSource(Source.Name, Source.Control);
     return;
   }
   std::vector<std::string> Seeds = Node.Settings.Seeds;
   std::erase(Seeds, Node.Settings.Listen.Control);
+  const std::size_t At = Misses + stableHash(Node.Settings.Instance);
   const std::string Seed = Seeds.empty() ? "" : Seeds[At % Seeds.size()];
   setSource(Seed, Seed);
 }
@@ -72,6 +75,15 @@
                  Node.Loop.now());
 }
 
+void relay_link::pollSoon() {
+  // Never straight on: the caller is still at the end of its last call.
+  Node.Loop.cancel(NextPoll);
+  NextPoll = Node.Loop.after(QuickPoll, [this] {
+    NextPoll = 0;
+    poll();
+  });
+}
+
 void relay_link::poll() {
   const bool IsRelay = ownRole(Node.Fleet) == spread_role::Relay;
   NextPoll = Node.Loop.after(IsRelay ? RelayPollPeriod : PollPeriod, [this] {
@@ -94,10 +106,13 @@
   if (Changes)
     AnsweredAt = Node.Loop.now();
   if (!Changes || Changes->Age > OldState) {
-    ++Misses;
+    if (++Misses <= QuickTries)
+      pollSoon();
     return;
   }
-  if (Misses < TriesWithRegular || ++FurtherAnswers >= AnswersBeforeReturn) {
+  // From a source that isn't a regular one the way back is tried sometimes.
+  const bool IsRegular = Misses < regularSources(Node.Fleet).size() || IsBlind;
+  if (!IsRegular && ++FurtherAnswers >= AnswersBeforeReturn) {
     Misses = 0;
     FurtherAnswers = 0;
   }
--- a/Services/Node/relay_link.h
+++ b/Services/Node/relay_link.h
@@ -15,7 +15,9 @@
 public:
   relay_link(node &Node, beliefs &Beliefs);
 
-  void start();
+  /// \p OwnCallsAreInVain: this instance asks the store itself and gets no
+  /// answer, as its regular sources may.
+  void start(bool OwnCallsAreInVain);
   void stop();
   /// When the state that was last taken over was fresh at the store.
   [[nodiscard]] instant freshAt() const { return FreshAt; }
@@ -27,6 +29,7 @@
 
 private:
   void poll();
+  void pollSoon();
   void take(const store_answer &Answer);
   void chooseSource();
   void setSource(const std::string &Name, const std::string &Control);
@@ -36,6 +39,7 @@
   store_caller Caller;
   timer_id NextPoll = 0;
   bool IsRunning = false;
+  bool IsBlind = false;
   std::string SourceName;
   /// Sources in a row that were no use.
   std::size_t Misses = 0;
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -26,11 +26,12 @@
 
 store_sync::store_sync(node &Node,
                        std::function<void(const std::string &)> Tell)
-    : Node(Node), Tell(std::move(Tell)),
-      Beliefs(Node), Followers{{{Node, Beliefs, object_kind::Configuration},
-                                {Node, Beliefs, object_kind::Target},
-                                {Node, Beliefs, object_kind::Evacuation},
-                                {Node, Beliefs, object_kind::Instance}}},
+    : Node(Node), Tell(std::move(Tell)), Beliefs(Node),
+      Followers{
+          {{Node, Beliefs, object_kind::Configuration, [this] { probeNow(); }},
+           {Node, Beliefs, object_kind::Target, [this] { probeNow(); }},
+           {Node, Beliefs, object_kind::Evacuation, [this] { probeNow(); }},
+           {Node, Beliefs, object_kind::Instance, [this] { probeNow(); }}}},
       Learner(Node, Beliefs), Relay(Node, Beliefs),
       Server(Node, Beliefs, [this] { return age(); }), OwnObject(Node, Beliefs),
       Prober(Node, Node.Settings.Store), Cleaner(Node, Node.Settings.Store) {}
@@ -86,7 +87,7 @@
                        Now - LearnedAt, IsDirect};
   setDirect(isOnDuty(Duty, View, Now));
   if (!IsDirect || IsInDoubt)
-    Relay.start();
+    Relay.start(/*OwnCallsAreInVain=*/IsDirect);
   else
     Relay.stop();
   if (IsDirect && View.Rank && *View.Rank < WatchersPerRegion)
@@ -147,6 +148,13 @@
                  Node.Loop.now());
 }
 
+/// A call failed. The next probe needn't be waited for to know that the store
+/// doesn't answer: its watchers' region would be a second longer without news.
+void store_sync::probeNow() {
+  if (IsDirect && !IsInDoubt && !Prober.isBusy())
+    probe();
+}
+
 void store_sync::probe() {
   Node.Loop.cancel(NextProbe);
   if (!IsDirect)
@@ -175,6 +183,7 @@
     for (kind_follower &Follower : Followers)
       Follower.pause();
     Beliefs.noteTrouble();
+    decide();
     return;
   }
   AnsweredAt = Node.Loop.now();
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -58,6 +58,7 @@
   instant freshAt() const;
   void startFollowers();
   void probe();
+  void probeNow();
   void takeProbe(bool IsAnswered);
   void takeReturn();
   void removeDead();
