--- a/Libraries/StateSpread/store_duty.h
+++ b/Libraries/StateSpread/store_duty.h
@@ -34,6 +34,9 @@
   duration SinceLearned{};
   /// Whether it asks the store now.
   bool IsAsking = false;
+  /// Whether its own object was listed when it learned. Then the fleet has run
+  /// before, and the list is whole.
+  bool WasListed = false;
 };
 
 struct store_duty {
--- a/Services/Node/own_object.cpp
+++ b/Services/Node/own_object.cpp
@@ -18,19 +18,24 @@
     : Node(Node), Beliefs(Beliefs), Writer(Node, Node.Settings.Store),
       Pause(FirstPause) {}
 
-void own_object::maintain() {
-  if (Node.IsLeaving || Writer.isBusy() || Node.Loop.now() < NextAt)
-    return;
+const std::string *own_object::listed() const {
   const auto &Known =
       Beliefs.cache().Kinds[static_cast<std::size_t>(object_kind::Instance)];
   const auto Entry = Known.Entries.find(Node.Settings.Instance);
-  const bool IsAbsent = Entry == Known.Entries.end() || Entry->second.IsDeleted;
-  if (!IsAbsent) {
-    const auto Listed = platform::decodeMember(Entry->second.Text);
-    if (Listed && *Listed == Node.Fleet.Own)
+  const bool IsThere = Entry != Known.Entries.end() && !Entry->second.IsDeleted;
+  return IsThere ? &Entry->second.Text : nullptr;
+}
+
+void own_object::maintain() {
+  if (Node.IsLeaving || Writer.isBusy() || Node.Loop.now() < NextAt)
+    return;
+  const std::string *Listed = listed();
+  if (Listed) {
+    const auto Member = platform::decodeMember(*Listed);
+    if (Member && *Member == Node.Fleet.Own)
       return;
   }
-  write(IsAbsent && !IsThere);
+  write(!Listed && !IsThere);
 }
 
 void own_object::write(bool IsAbsent) {
--- a/Services/Node/own_object.h
+++ b/Services/Node/own_object.h
@@ -15,8 +15,13 @@
   /// object of an earlier start that is the same needs no write, so that a
   /// restart of the whole fleet costs the store none.
   void maintain();
+  /// Whether the list of instances has an object of this node, be it an old
+  /// one.
+  [[nodiscard]] bool isListed() const { return listed() != nullptr; }
 
 private:
+  /// The object's text in the list; nullptr: it isn't there.
+  [[nodiscard]] const std::string *listed() const;
   void write(bool IsAbsent);
   void take(const store_answer &Answer, bool WasCreation);
 
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -82,9 +82,12 @@
   if (!HasLearned)
     takeLearned();
   const instant Now = Node.Loop.now();
-  const duty_view View{ownRank(Node.Fleet), age(),
+  const duty_view View{ownRank(Node.Fleet),
+                       age(),
                        Now - std::max(freshAt(), Relay.answeredAt()),
-                       Now - LearnedAt, IsDirect};
+                       Now - LearnedAt,
+                       IsDirect,
+                       WasListed};
   setDirect(isOnDuty(Duty, View, Now));
   if (!IsDirect || IsInDoubt)
     Relay.start(/*OwnCallsAreInVain=*/IsDirect);
@@ -105,6 +108,7 @@
 void store_sync::takeLearned() {
   HasLearned = true;
   LearnedAt = Node.Loop.now();
+  WasListed = OwnObject.isListed();
   const bool FromStore = Learner.source().empty();
   if (FromStore)
     AnsweredAt = LearnedAt;
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -76,6 +76,8 @@
   store_duty Duty;
   bool HasLearned = false;
   instant LearnedAt{};
+  /// Whether this node's object was listed then.
+  bool WasListed = false;
   bool IsDirect = false;
   /// Whether the store's next answer is awaited before anything is asked.
   bool IsInDoubt = false;
--- a/Tests/state_spread_test.cpp
+++ b/Tests/state_spread_test.cpp
@@ -220,6 +220,30 @@
   CHECK(isOnDuty(Duty, {0, {}, {}, milliseconds(10), true}, Start));
 }
 
+// Symptom: a request reaches a server 3.07 s after it had said that it leaves.
+// Sequence: nodes are restarted in turn, both watchers of a region among them;
+// they are up again, so that those who stood in for them step back, and wait
+// before they watch; nobody of the region hears of the store meanwhile. Cause:
+// taking an instance that was restarted for one of a fleet that is new.
+TEST(StateSpread, ARestartedWatcherWatchesAtOnce) {
+  store_duty Duty;
+  const duration Just = milliseconds(100);
+  CHECK(isOnDuty(Duty, {0, {}, {}, Just, false, /*WasListed=*/true}, Start));
+  // Those behind the first ones have no part in it.
+  store_duty Behind;
+  CHECK_FALSE(isOnDuty(Behind, {2, {}, {}, Just, false, true}, Start));
+}
+
+// The other half of it: whoever stood in goes on until the one that is back has
+// heard from the store.
+TEST(StateSpread, AStandInGoesOnForAMoment) {
+  store_duty Duty;
+  const duration Long = seconds(60);
+  CHECK(isOnDuty(Duty, {1, {}, {}, Long, true}, Start));
+  CHECK(isOnDuty(Duty, {2, {}, {}, Long, true}, Start + milliseconds(700)));
+  CHECK_FALSE(isOnDuty(Duty, {2, {}, {}, Long, true}, Start + seconds(2)));
+}
+
 // Pattern: a region of 98 instances. Symptom: its two watchers answer 245 polls
 // a second. In a large region none serves more than a bounded number.
 TEST(StateSpread, NobodyServesMoreThanItsFanOut) {
