Tests: all servers of a site die at once; Gateway: a line for what it doesn't answer

Symptom: callers are told after seconds what is known early, when the servers of a site die. No scenario had this sequence. The backend stand-in goes down for a while on order (connections refused or cut) and keeps what it counted, so that the check of what callers were told still holds; a killed one loses its counts. The gateway said nothing of requests that it doesn't answer, so a wait in its queue couldn't be told from one at a server: it logs outcome, reason, attempts and time.

--- a/Services/Gateway/gateway_daemon.cpp
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -113,6 +113,23 @@
   }
 }
 
+void gateway_daemon::noteEnd(const request_payload &Payload,
+                             const finish_request &Action) {
+  const std::string Outcome(toString(Action.Outcome));
+  const duration Took = currentInstant() - Payload.Arrived;
+  Metrics.observeLatency({Payload.Customer, Payload.Service, Outcome}, Took);
+  if (Action.Outcome == outcome::Answered)
+    return;
+  logLine(log_level::Info, "request not answered",
+          {{"request_id", Payload.RequestId},
+           {"customer", Payload.Customer},
+           {"service", Payload.Service},
+           {"outcome", Outcome},
+           {"reason", Action.Reason},
+           {"attempts", std::to_string(Payload.Attempts)},
+           {"took_us", std::to_string(Took.count())}});
+}
+
 void gateway_daemon::finish(finish_request &Action) {
   std::shared_ptr<request_payload> Payload;
   {
@@ -124,9 +141,7 @@
     }
   }
   if (Payload)
-    Metrics.observeLatency({Payload->Customer, Payload->Service,
-                            std::string(toString(Action.Outcome))},
-                           currentInstant() - Payload->Arrived);
+    noteEnd(*Payload, Action);
   auto Found = Waiting.find(Action.Token);
   if (Found == Waiting.end())
     return;
--- a/Services/Gateway/gateway_daemon.h
+++ b/Services/Gateway/gateway_daemon.h
@@ -92,6 +92,8 @@
   void perform(node_shard &Shard, std::vector<gateway_action> Actions);
   void performOne(node_shard &Shard, gateway_action &Action);
   void finish(finish_request &Action);
+  /// Counts and logs how a request ended here.
+  void noteEnd(const request_payload &Payload, const finish_request &Action);
   void sendToPeer(node_shard &Shard, const send_to_peer &Action);
   void writeRecord(node_shard &Shard, const write_record &Action);
   void sendToTarget(node_shard &Shard, const send_to_target &Action);
--- a/Tests/Processes/failures.sh
+++ b/Tests/Processes/failures.sh
@@ -80,6 +80,17 @@
   sleep 3
 }
 
+# Symptom: callers are told after seconds what is known at once. Sequence: all
+# servers of a site die, their connections are refused, and come back after four
+# seconds. Cause: requests waited behind servers that were known to take none.
+scenario_site_servers_die() {
+  local place
+  for place in "${!backends[@]}"; do
+    [ $((place % 6)) != 0 ] || curl -s "http://${backends[$place]}/control?down_ms=4000" >/dev/null
+  done
+  sleep 4
+}
+
 # Symptom: a server that leaves gets new work. Sequence: one says so in its
 # health answer only; the list still has it.
 scenario_target_leaves_by_health() {
@@ -217,7 +228,8 @@
 }
 
 scenarios=(gateway_killed gateway_frozen platform_away writes_lose_answers
-           entry_killed answers_lost_and_crossed target_leaves_by_health
+           entry_killed answers_lost_and_crossed site_servers_die
+           target_leaves_by_health
            controls_killed operators_race region_lost daemons_stopped
            gateways_stopped_together callers_misbehave)
 [ $# = 0 ] || scenarios=("$@")
--- a/Utilities/BackendStandIn/backend_server.cpp
+++ b/Utilities/BackendStandIn/backend_server.cpp
@@ -1,5 +1,6 @@
 #include "backend_server.h"
 
+#include "Logging/logging.h"
 #include "Timers/timers.h"
 #include "export_content.h"
 
@@ -16,6 +17,8 @@
 static constexpr auto WorkStep = std::chrono::milliseconds(2);
 /// Executions reported after a drain began count from here on.
 static constexpr std::int64_t DrainGraceMs = 3'000;
+/// The answer to the order to go down is written within this.
+static constexpr auto DownDelay = std::chrono::milliseconds(50);
 
 void site_meter::add(std::int64_t Milliwatts) {
   const std::int64_t Now = DrawMilliwatts += Milliwatts;
@@ -69,6 +72,11 @@
                                site_meter &Meter)
     : Options(Options), Meter(Meter) {}
 
+backend_server::~backend_server() {
+  if (Outage.joinable())
+    Outage.join();
+}
+
 result<bool> backend_server::start() {
   http_server_options ServerOptions;
   ServerOptions.MaxConnections = Options.MaxConnections;
@@ -111,11 +119,8 @@
     return std::make_unique<http_response>(control(Head));
   if (Head.Path == "/report")
     return make(200, reportJson());
-  {
-    const std::lock_guard Guard(Lock);
-    if (Faults.Dead)
-      return cutConnection();
-  }
+  if (isDead())
+    return cutConnection();
   payForConnection(Head.Socket);
   if (Head.Path == "/health" && Options.HasProbe)
     return std::make_unique<http_response>(health(Head));
@@ -230,7 +235,7 @@
         {"key", headerOr(Head.Headers, "idempotency-key")},
         {"echo", Body}}.dump();
     release(*Work, !Work->Cancelled);
-    if (takeFault(&backend_faults::LoseAnswers))
+    if (takeFault(&backend_faults::LoseAnswers) || isDead())
       return cutConnection();
   }
   const bool Crossed = takeFault(&backend_faults::CrossWire);
@@ -251,7 +256,7 @@
   auto Place = std::make_shared<std::int64_t>(0);
   Response->Reader = [this, Work, Bytes, DurationMs, Truncated, StartMs,
                       Place](std::span<char> Buffer) -> std::int64_t {
-    if (Work->Cancelled || (Truncated && *Place >= Bytes / 2))
+    if (Work->Cancelled || (Truncated && *Place >= Bytes / 2) || isDead())
       return BodyBroken;
     if (*Place >= Bytes) {
       release(*Work, true);
@@ -279,7 +284,38 @@
   return Response;
 }
 
+bool backend_server::isDead() {
+  const std::lock_guard Guard(Lock);
+  return Faults.Dead;
+}
+
+void backend_server::goDownFor(std::int64_t Milliseconds) {
+  if (Outage.joinable())
+    Outage.join();
+  Outage = std::thread([this, Milliseconds] {
+    std::this_thread::sleep_for(DownDelay);
+    {
+      const std::lock_guard Guard(Lock);
+      Faults.Dead = true;
+    }
+    Server.reset();
+    std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
+    {
+      const std::lock_guard Guard(Lock);
+      Faults.Dead = false;
+      // Cold again, and no connection is an old one.
+      Started = 0;
+      SeenSockets.clear();
+    }
+    if (const auto Listening = start(); !Listening)
+      logLine(log_level::Error, Listening.error().Message,
+              {{"target", Options.Name}});
+  });
+}
+
 http_response backend_server::control(const http_head &Head) {
+  if (const std::int64_t DownMs = argumentOr(Head, "down_ms", 0); DownMs > 0)
+    goDownFor(DownMs);
   const std::lock_guard Guard(Lock);
   Faults.LoseAnswers = argumentOr(Head, "lose_answers", Faults.LoseAnswers);
   Faults.CrossWire = argumentOr(Head, "cross_wire", Faults.CrossWire);
--- a/Utilities/BackendStandIn/backend_server.h
+++ b/Utilities/BackendStandIn/backend_server.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace amaranthhoist {
@@ -69,6 +70,8 @@
 public:
   backend_server(const backend_options &Options, site_meter &Meter);
 
+  ~backend_server();
+
   result<bool> start();
 
   /// Called by its exchange, on the connection's thread.
@@ -90,6 +93,10 @@
   bool takeFault(std::int64_t backend_faults::*Fault);
   void release(running_work &Work, bool Completed);
   void payForConnection(int Socket);
+  /// As a process that dies and is started again: connections are refused or
+  /// cut for \p Milliseconds. What was counted stays, for the report.
+  void goDownFor(std::int64_t Milliseconds);
+  bool isDead();
 
   backend_options Options;
   site_meter &Meter;
@@ -105,6 +112,7 @@
   std::vector<execution> Executions;
   std::map<std::string, std::weak_ptr<running_work>> Running;
   std::set<int> SeenSockets;
+  std::thread Outage;
 };
 
 } // namespace amaranthhoist
