Gateway: a wait for nothing ends after a second

What callers saw after a region's daemons had died and come back: single downloads and enquiries answered only after nearly 12 s (the second symptom beside holds at their deadline; it has another cause than the order of events in the entry). Ruled out: the entry's race; it shows on the mended entry too. Change: requests that wait for a second while nothing is in progress whose end would make room are refused; for a second more arrivals are refused at once.

--- a/Libraries/Gateway/dispatch.cpp
+++ b/Libraries/Gateway/dispatch.cpp
@@ -137,6 +137,7 @@
   Item.Units = unitsFor(Node, Request, Target.Name);
   takeUnits(Node.Budget, Item.Units, Moment.Now);
   Item.Target = Target.Name;
+  Node.StalledSince.erase(Request.Service);
   ++Item.Attempts;
   ++Target.InFlight;
   Item.ToldDeadline =
@@ -202,7 +203,7 @@
   }
   for (auto Request = SetAside.rbegin(); Request != SetAside.rend(); ++Request)
     requeueFront(Queue->second, *Request);
-  refuseHopeless(Node, Service, Actions);
+  refuseHopeless(Node, Service, Moment.Now, Actions);
 }
 
 void pumpAll(gateway_node &Node, moment Moment, actions &Actions) {
--- a/Libraries/Gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway.cpp
@@ -182,7 +182,8 @@
   Offer.FreeUnits = Node.Draining ? 0 : std::max<std::int64_t>(Free, 0);
   // A site whose servers are due for a trial isn't suspect, or it would get
   // none and stay out of use when they are back.
-  const bool Hopeless = gateway::hasNoServer(Node, Service);
+  const bool Hopeless = gateway::hasNoServer(Node, Service) ||
+                        gateway::isStalled(Node, Service, Now);
   Offer.Suspect = Node.Draining || (Hopeless && Offer.FreeUnits == 0);
   return Offer;
 }
--- a/Libraries/Gateway/gateway.h
+++ b/Libraries/Gateway/gateway.h
@@ -89,6 +89,14 @@
   duration WitnessLimit = std::chrono::milliseconds(1'000);
   /// Base of the time to come back that refusals carry.
   duration RetryAfter = std::chrono::seconds(1);
+  /// Requests wait this long while nothing is in progress here whose end would
+  /// make room: for a loan, or for a dead holder's share. As long as a refused
+  /// caller waits before it comes back, the base of RetryAfter.
+  duration StallLimit = std::chrono::seconds(1);
+  /// After a wait in vain requests are refused at once for this long, then some
+  /// wait again. The same base, so that whoever comes back isn't refused on old
+  /// knowledge.
+  duration StallMemory = std::chrono::seconds(1);
 };
 
 // Events.
@@ -288,6 +296,8 @@
   std::vector<std::string> Witnesses;
   std::size_t NextLender = 0;
   retry_budget Retries;
+  /// By service: since when requests wait although nothing is in progress.
+  std::map<std::string, instant> StalledSince;
   bool Draining = false;
   bool Leaving = false;
 };
--- a/Libraries/Gateway/node.h
+++ b/Libraries/Gateway/node.h
@@ -25,8 +25,12 @@
 /// Whether no backend server of \p Service is left that takes work or is known
 /// to do so again: each is leaving or down.
 bool hasNoServer(const gateway_node &Node, const std::string &Service);
+/// Whether requests of \p Service have waited in vain for units, with nothing
+/// in progress here whose end would free any.
+bool isStalled(const gateway_node &Node, const std::string &Service,
+               instant Now);
 /// Refuses what waits for \p Service and can't be served.
-void refuseHopeless(gateway_node &Node, const std::string &Service,
+void refuseHopeless(gateway_node &Node, const std::string &Service, instant Now,
                     actions &Actions);
 
 // completion.cpp
--- a/Libraries/Gateway/prospects.cpp
+++ b/Libraries/Gateway/prospects.cpp
@@ -12,18 +12,55 @@
       });
 }
 
+/// Work of unknown end doesn't count: its units come back by time alone.
+static bool hasWorkInProgress(const gateway_node &Node) {
+  std::int64_t InFlight = 0;
+  for (const auto &[Name, Target] : Node.Targets)
+    InFlight += Target.InFlight;
+  return InFlight > static_cast<std::int64_t>(Node.Lingering.size());
+}
+
+bool isStalled(const gateway_node &Node, const std::string &Service,
+               instant Now) {
+  auto Since = Node.StalledSince.find(Service);
+  if (Since == Node.StalledSince.end() || hasWorkInProgress(Node))
+    return false;
+  const instant Known = Since->second + Node.Settings.StallLimit;
+  return Now >= Known && Now < Known + Node.Settings.StallMemory;
+}
+
+static void noteStall(gateway_node &Node, const std::string &Service,
+                      instant Now) {
+  if (hasWorkInProgress(Node)) {
+    Node.StalledSince.erase(Service);
+    return;
+  }
+  const auto [Since, Fresh] = Node.StalledSince.try_emplace(Service, Now);
+  const duration Memory = Node.Settings.StallLimit + Node.Settings.StallMemory;
+  if (!Fresh && Now >= Since->second + Memory)
+    Since->second = Now;
+}
+
 /// Without this a request waits in the queue for servers that are known to be
-/// dead, sent only as one of their trials: its caller is told after seconds, up
-/// to its deadline, what is known when it arrives, and could have been served
-/// at another site. When all servers of a site die, the longest wait for a
-/// refusal is 22 ms instead of 3.2 s, over real processes.
-void refuseHopeless(gateway_node &Node, const std::string &Service,
+/// dead, sent only as one of their trials, or for units that come back when a
+/// dead holder's row is removed: its caller is told after seconds, up to its
+/// deadline, what is known before, and could have been served at another site.
+/// When all servers of a site die, the longest wait for a refusal is 22 ms
+/// instead of 3.2 s, over real processes; a wait for units ends after
+/// StallLimit instead of up to 12 s.
+void refuseHopeless(gateway_node &Node, const std::string &Service, instant Now,
                     actions &Actions) {
   fair_queue &Queue = Node.Queues[Service];
-  if (Queue.Total == 0 || !hasNoServer(Node, Service))
+  if (Queue.Total == 0)
+    return;
+  noteStall(Node, Service, Now);
+  const bool NoServer = hasNoServer(Node, Service);
+  if (!NoServer && !isStalled(Node, Service, Now))
     return;
+  const std::string Reason =
+      NoServer ? "no backend server takes work" : "no share to run it on";
   while (auto Next = dequeue(Queue))
-    giveUp(Node, Next->Token, "no backend server takes work", Actions);
+    giveUp(Node, Next->Token, Reason, Actions);
 }
 
 } // namespace amaranthhoist::gateway
--- a/Tests/gateway_test.cpp
+++ b/Tests/gateway_test.cpp
@@ -173,3 +173,37 @@
   CHECK(Gateway.Finished.contains(Waiting));
   CHECK(Gateway.Finished[Waiting].Outcome == outcome::Refused);
 }
+
+// Symptom: enquiries answered after 11 s, once a region's gateways have died
+// and are back. Sequence: the new gateway has no share until the dead one's row
+// is removed, after 13 s; requests wait in its queue. Cause: nothing told a
+// wait for work in progress from a wait for nothing.
+TEST(Gateway, AGatewayWithoutAShareRefusesAfterAWaitInVain) {
+  Gateway.serve(0);
+  const auto First = Gateway.arrive(work_class::Idempotent, Start);
+  CHECK(!Gateway.Finished.contains(First));
+  const instant Known = Start + Gateway.Node.Settings.StallLimit;
+  Gateway.step(clock_tick{}, Known);
+  CHECK(Gateway.Finished.contains(First));
+  CHECK(makeOffer(Gateway.Node, Service, Known).Suspect);
+  const auto Second = Gateway.arrive(work_class::Idempotent, Known);
+  CHECK(Gateway.Finished.contains(Second));
+}
+
+// Refusals end when what they are based on is old, or a share comes.
+TEST(Gateway, AShareThatComesIsUsedAtOnce) {
+  Gateway.serve(0);
+  Gateway.arrive(work_class::Idempotent, Start);
+  const gateway_settings &Settings = Gateway.Node.Settings;
+  const instant Known = Start + Settings.StallLimit;
+  Gateway.step(clock_tick{}, Known);
+  const instant Old = Known + Settings.StallMemory;
+  CHECK(
+      !Gateway.Finished.contains(Gateway.arrive(work_class::Idempotent, Old)));
+  Gateway.step(clock_tick{}, Old + Settings.StallLimit);
+  pool_record Record{2, {}};
+  Record.Shares[Self] = {{PowerResource, 100}, {slotResource("t-1"), 3}};
+  Gateway.step(record_seen{Record}, Old + Settings.StallLimit);
+  Gateway.arrive(work_class::Idempotent, Old + Settings.StallLimit);
+  LONGS_EQUAL(1, Gateway.Sent.size());
+}
