Deployment script: signals go to its own running processes only

Cause: the end of a deployment sent SIGKILL to every id that it had started, also of daemons that had been waited for. Ids come round in less than a minute under such load. Change: a signal goes to an id only if it is this shell's running child; so do signals to single daemons, and the check whether a daemon has ended. The callers are on the list too, so that an interrupted run leaves none. In the node's tests a signal to a node that was waited for would have gone to id 0, the whole process group.

--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -189,6 +189,9 @@
 }
 
 void node_fleet::signal(node_process &Node, int Signal) {
+  // Ended and waited for: signalled as 0, the whole run would get it.
+  if (Node.Process <= 0)
+    return;
   kill(Node.Process, Signal);
   if (Signal != SIGKILL)
     return;
--- a/Tests/Processes/failures.sh
+++ b/Tests/Processes/failures.sh
@@ -17,8 +17,8 @@
 trap finish EXIT
 trap "exit 1" INT TERM
 
-kill_daemon() { kill -KILL "${pid_of[$name-$1-$2]}"; wait "${pid_of[$name-$1-$2]}" 2>/dev/null || true; }
-signal_daemon() { kill "-$3" "${pid_of[$name-$1-$2]}"; }
+kill_daemon() { signal_daemon "$1" "$2" KILL; wait "${pid_of[$name-$1-$2]}" 2>/dev/null || true; }
+signal_daemon() { signal "$name-$1-$2" "$3"; }
 break_platform() { curl -s "http://127.0.0.1:$base/control?$1" >/dev/null; }
 break_backends() {
   local backend
@@ -145,10 +145,10 @@
 expect_end() { # expect_end KIND NUMBER
   local pid=${pid_of[$name-$1-$2]} i
   for ((i = 0; i < 300; ++i)); do
-    kill -0 "$pid" 2>/dev/null || break
+    is_own "$pid" || break
     sleep 0.1
   done
-  [ $i -lt 300 ] || { echo "the $1 $2 did not end"; kill -KILL "$pid"; }
+  [ $i -lt 300 ] || { echo "the $1 $2 did not end"; signal_own "$pid" KILL; }
   wait "$pid" || { echo "the $1 $2 ended with $?"; failed=$((failed + 1)); }
 }
 
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -4,10 +4,30 @@
 pids=()
 declare -A pid_of=()
 
+# Whether the id is that of a process started here that runs. An id that was
+# waited for is free for others, and comes round within a minute on a busy
+# machine: a signal by id alone then hits another run's process, which shows as a
+# stand-in without a report or a play that ended early. All that is started here
+# are this shell's children, and nobody else's processes are.
+is_own() { # is_own PID
+  grep -qsE "^PPid:[[:space:]]$$\$" "/proc/$1/status" &&
+    ! grep -qsE '^State:[[:space:]]Z' "/proc/$1/status"
+}
+
+signal_own() { # signal_own PID SIGNAL
+  ! is_own "$1" || kill "-$2" "$1" 2>/dev/null || true
+}
+
+# By the name under which it was started:
+runs_daemon() { is_own "${pid_of[$1]}"; }
+is_gone_daemon() { ! runs_daemon "$1"; }
+signal() { signal_own "${pid_of[$1]}" "$2"; } # signal LOGNAME SIGNAL
+
 # Ends only what was started here, by id.
 end_deployment() {
-  for pid in "${pids[@]:-}"; do [ -z "$pid" ] || kill -CONT "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]:-}"; do [ -z "$pid" ] || kill -KILL "$pid" 2>/dev/null || true; done
+  local pid
+  for pid in "${pids[@]:-}"; do [ -z "$pid" ] || signal_own "$pid" CONT; done
+  for pid in "${pids[@]:-}"; do [ -z "$pid" ] || signal_own "$pid" KILL; done
   for pid in "${pids[@]:-}"; do [ -z "$pid" ] || wait "$pid" 2>/dev/null || true; done
   pids=()
 }
@@ -149,6 +169,7 @@
     --entries "$(join "${entries[@]}")" --backends "$(join "${backends[@]}")" \
     ${caller_options:-} >"$work/$name-report.txt" &
   callers=$!
+  pids+=("$callers")
 }
 
 # The sites' own count of their peak draw against their cap.
