Gateway, Entry: actions are carried out in the order of the decisions

Symptom: none that callers saw is traced to it; it is the pattern behind holds that were answered only at their deadline, left standing in the gateway. Cause: a step on a timer's or a worker's thread decided under the shard's lock and posted what followed; a step on the loop, later, acted at once. Messages to peers, sends, cancels and record writes could leave in another order than decided. In both daemons an action that led to a further step was also overtaken by that step's actions. Change: an action queue a shard. What is decided is appended with the lock held, and the loop carries it out from the front, whoever comes first. Ruled out by reading: the control, whose steps all run on its loop and send at once. Before: with the old pattern in the queue's place three of its four tests fail. Why it holds: the order is that of the appends, made under the lock of the decision.

--- a/Services/Entry/entry_daemon.cpp
+++ b/Services/Entry/entry_daemon.cpp
@@ -49,8 +49,11 @@
     : Settings(Settings),
       Control(Loop, Settings.Control.Listen, identityOf(Settings),
               [this](const view_change &Change) { applyView(Change); }) {
-  for (entry_shard &Shard : Shards)
+  for (entry_shard &Shard : Shards) {
     Shard.Node = makeEntry(nodeSettings(Settings));
+    Shard.Actions = std::make_unique<action_queue<entry_action>>(
+        Loop, [this, &Shard](entry_action &Action) { perform(Shard, Action); });
+  }
 }
 
 entry_daemon::~entry_daemon() { Timers.stop(); }
@@ -99,12 +102,11 @@
     Loop.post([this, &Shard, Event] { step(Shard, Event); });
     return;
   }
-  std::vector<entry_action> Actions;
   {
     const std::lock_guard Guard(Shard.Lock);
-    Actions = stepEntry(Shard.Node, Event, currentInstant());
+    Shard.Actions->append(stepEntry(Shard.Node, Event, currentInstant()));
   }
-  perform(Shard, Actions);
+  Shard.Actions->drain();
 }
 
 void entry_daemon::stepAll(const entry_event &Event) {
@@ -112,16 +114,13 @@
     step(Shard, Event);
 }
 
-void entry_daemon::perform(entry_shard &Shard,
-                           const std::vector<entry_action> &Actions) {
-  for (const entry_action &Action : Actions) {
-    if (const auto *Forward = std::get_if<forward_request>(&Action))
-      forward(Shard, *Forward);
-    else if (const auto *Ask = std::get_if<ask_witness>(&Action))
-      askWitness(Shard, *Ask);
-    else if (const auto *Finish = std::get_if<finish_caller>(&Action))
-      finish(*Finish);
-  }
+void entry_daemon::perform(entry_shard &Shard, const entry_action &Action) {
+  if (const auto *Forward = std::get_if<forward_request>(&Action))
+    forward(Shard, *Forward);
+  else if (const auto *Ask = std::get_if<ask_witness>(&Action))
+    askWitness(Shard, *Ask);
+  else if (const auto *Finish = std::get_if<finish_caller>(&Action))
+    finish(*Finish);
 }
 
 std::string entry_daemon::addressOf(const std::string &NodeId) const {
--- a/Services/Entry/entry_daemon.h
+++ b/Services/Entry/entry_daemon.h
@@ -1,6 +1,7 @@
 /// Sockets, threads and locks around an entry's decisions.
 #pragma once
 
+#include "ActionQueue/action_queue.h"
 #include "ControlLink/control_link.h"
 #include "Entry/entry.h"
 #include "Http/http.h"
@@ -56,10 +57,11 @@
   kj::Maybe<kj::Promise<void>> Call;
 };
 
-/// Customers are spread over shards, each with its own node and lock.
+/// Customers are spread over shards, each with its own node, lock and actions.
 struct entry_shard {
   std::mutex Lock;
   entry_node Node;
+  std::unique_ptr<action_queue<entry_action>> Actions;
 };
 
 /// An entry as look-ups name it.
@@ -127,7 +129,7 @@
   entry_shard &shardOf(const std::string &Customer);
   void step(entry_shard &Shard, const entry_event &Event);
   void stepAll(const entry_event &Event);
-  void perform(entry_shard &Shard, const std::vector<entry_action> &Actions);
+  void perform(entry_shard &Shard, const entry_action &Action);
   void forward(entry_shard &Shard, const forward_request &Action);
   void askWitness(entry_shard &Shard, const ask_witness &Action);
   void finish(const finish_caller &Action);
--- a/Services/Gateway/gateway_daemon.cpp
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -74,29 +74,17 @@
   return nullptr;
 }
 
+/// Decided on the thread that brings the event, carried out on the loop in the
+/// order of the decisions.
 void gateway_daemon::step(node_shard &Shard, const gateway_event &Event) {
-  std::vector<gateway_action> Actions;
   {
     const std::lock_guard Guard(Shard.Lock);
-    Actions = stepGateway(Shard.Node, Event, currentMoment());
+    Shard.Actions.append(stepGateway(Shard.Node, Event, currentMoment()));
   }
-  if (Actions.empty())
-    return;
-  if (Loop.isLoopThread())
-    perform(Shard, std::move(Actions));
-  else
-    Loop.post([this, &Shard, Actions = std::move(Actions)]() mutable {
-      perform(Shard, std::move(Actions));
-    });
-}
-
-void gateway_daemon::perform(node_shard &Shard,
-                             std::vector<gateway_action> Actions) {
-  for (gateway_action &Action : Actions)
-    performOne(Shard, Action);
+  Shard.Actions.drain();
 }
 
-void gateway_daemon::performOne(node_shard &Shard, gateway_action &Action) {
+void gateway_daemon::perform(node_shard &Shard, gateway_action &Action) {
   if (auto *Send = std::get_if<send_to_target>(&Action)) {
     sendToTarget(Shard, *Send);
   } else if (auto *Finish = std::get_if<finish_request>(&Action)) {
--- a/Services/Gateway/gateway_daemon.h
+++ b/Services/Gateway/gateway_daemon.h
@@ -1,6 +1,7 @@
 /// Sockets, threads and locks around the gateway nodes of one instance.
 #pragma once
 
+#include "ActionQueue/action_queue.h"
 #include "ControlLink/control_link.h"
 #include "Gateway/gateway.h"
 #include "Http/http.h"
@@ -35,10 +36,14 @@
   bool NoSuchNode = false;
 };
 
-/// A site's node and its lock.
+/// A site's node, its lock, and what it has decided.
 struct node_shard {
+  node_shard(rpc_loop &Loop, action_queue<gateway_action>::performer Perform)
+      : Actions(Loop, std::move(Perform)) {}
+
   std::mutex Lock;
   gateway_node Node;
+  action_queue<gateway_action> Actions;
 };
 
 /// A request whose entry waits for its answer. Lives on the loop's thread.
@@ -89,8 +94,7 @@
 
 private:
   void step(node_shard &Shard, const gateway_event &Event);
-  void perform(node_shard &Shard, std::vector<gateway_action> Actions);
-  void performOne(node_shard &Shard, gateway_action &Action);
+  void perform(node_shard &Shard, gateway_action &Action);
   void finish(finish_request &Action);
   /// Counts and logs how a request ended here.
   void noteEnd(const request_payload &Payload, const finish_request &Action);
--- a/Services/Gateway/gateway_view.cpp
+++ b/Services/Gateway/gateway_view.cpp
@@ -109,7 +109,10 @@
   auto Found = Shards.find(Site);
   if (Found != Shards.end())
     return *Found->second;
-  auto Shard = std::make_unique<node_shard>();
+  auto Shard =
+      std::make_unique<node_shard>(Loop, [this, Site](gateway_action &Action) {
+        perform(*Shards.at(Site), Action);
+      });
   Shard->Node = makeGateway(nodeSettings(Settings, Site, Incarnation));
   logLine(log_level::Info, "serving site",
           {{"site", Site}, {"node", Shard->Node.Settings.Id}});
