--- a/Services/Gateway/gateway_daemon.h
+++ b/Services/Gateway/gateway_daemon.h
@@ -92,6 +92,9 @@
   std::vector<service_offer> offers();
   std::string statusJson();
 
+  /// Where calls and changes are taken in.
+  rpc_loop &loop() { return Loop; }
+
 private:
   void step(node_shard &Shard, const gateway_event &Event);
   void perform(node_shard &Shard, gateway_action &Action);
--- a/Tests/daemon_stand_ins.cpp
+++ b/Tests/daemon_stand_ins.cpp
@@ -71,6 +71,57 @@
   return Delivered;
 }
 
+class stand_in_control::server final : public wire::Control::Server {
+public:
+  explicit server(stand_in_control &Owner) : Owner(Owner) {}
+
+protected:
+  kj::Promise<void> changes(ChangesContext Context) override {
+    const std::uint64_t Asked = Context.getParams().getSequence();
+    const std::lock_guard Guard(Owner.Lock);
+    if (Asked >= Owner.Items.size())
+      return Owner.Loop.after(PollPause).then(
+          [this, Context]() mutable { return changes(Context); });
+    auto Results = Context.getResults();
+    Results.setEpoch(1);
+    Results.setSequence(Owner.Items.size());
+    const auto New = std::span(Owner.Items).subspan(Asked);
+    writeItems(New, Results.initItems(static_cast<unsigned>(New.size())));
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> update(UpdateContext Context) override {
+    const std::lock_guard Guard(Owner.Lock);
+    Owner.Written.insert(toString(Context.getParams().getKey()));
+    Context.getResults().setResult(wire::UpdateResult::WRITTEN);
+    Context.getResults().setVersion(FirstWritten +
+                                    std::int64_t(Owner.Written.size()));
+    return kj::READY_NOW;
+  }
+
+private:
+  /// Above the versions that tests give.
+  static constexpr std::int64_t FirstWritten = 1'000;
+
+  stand_in_control &Owner;
+};
+
+stand_in_control::stand_in_control() : Address(freeAddress()) {
+  Loop.run([this] { (void)Loop.listen(Address, kj::heap<server>(*this)); });
+}
+
+stand_in_control::~stand_in_control() = default;
+
+void stand_in_control::announce(const std::string &Key, std::int64_t Version,
+                                const std::string &Value) {
+  const std::lock_guard Guard(Lock);
+  Items.push_back({Key, Version, Value.empty(), Value});
+}
+
+bool stand_in_control::hasWritten(const std::string &Key) {
+  const std::lock_guard Guard(Lock);
+  return Written.contains(Key);
+}
+
 void daemon_view::put(const std::string &Key, std::int64_t Version,
                       const std::string &Value) {
   Fresh.push_back({Key, Version, false, Value});
--- a/Tests/daemon_stand_ins.h
+++ b/Tests/daemon_stand_ins.h
@@ -49,6 +49,30 @@
   rpc_loop Loop;
 };
 
+/// The control of an instance: hands on what it is given, and writes whatever a
+/// daemon asks for.
+class stand_in_control {
+public:
+  stand_in_control();
+  ~stand_in_control();
+
+  const std::string Address;
+
+  /// Hands on a change; a value of "" removes the object.
+  void announce(const std::string &Key, std::int64_t Version,
+                const std::string &Value);
+  /// Whether a daemon has written \p Key.
+  bool hasWritten(const std::string &Key);
+
+private:
+  class server;
+
+  std::mutex Lock;
+  std::vector<item> Items;
+  std::set<std::string> Written;
+  rpc_loop Loop;
+};
+
 /// Objects as a control hands them on, batch by batch.
 class daemon_view {
 public:
