Budget: a holder that leaves takes back what the dead have borrowed

Symptom: none seen by callers; found while looking for the same fault as gateways that don't end. A gateway that has lent to a peer, which dies, and is then asked to stop waits for its limit of ten minutes, and its share stays out of use. Cause: loans of the dead are taken back by the plan for the next share, which a holder that leaves doesn't make. Ruled out: the lender's own row and work, which leave as before. Change: the plan for leaving takes them back as well, after the same delay. Before: the test's gateway writes no record after the delay; after: one without its row. Why it holds: the delay covers the last work that the dead could have sent on those units, as it does for a holder that stays.

--- a/Libraries/Budget/budget.cpp
+++ b/Libraries/Budget/budget.cpp
@@ -198,7 +198,11 @@
   return Next;
 }
 
-std::optional<pool_record> planLeave(budget_holder &Holder) {
+std::optional<pool_record> planLeave(budget_holder &Holder,
+                                     const budget_timing &Timing, instant Now) {
+  // A dead borrower returns nothing and a dead lender confirms nothing: without
+  // this, a holder that leaves waits for them until its process's limit.
+  forgetLoansOfDead(Holder, reclaimable(Holder, Timing, Now));
   if (Holder.Pending) {
     if (!std::exchange(Holder.Pending->Repeat, false))
       return std::nullopt;
--- a/Libraries/Budget/budget.h
+++ b/Libraries/Budget/budget.h
@@ -145,8 +145,10 @@
                                       const budget_timing &Timing, instant Now);
 
 /// The record without this holder's row, when it leaves; nothing while units
-/// are lent, borrowed or under work. Its own use ends before this returns.
-std::optional<pool_record> planLeave(budget_holder &Holder);
+/// are lent, borrowed or under work. Loans of holders that have been dead for
+/// ReclaimDelay don't count. Its own use ends before this returns.
+std::optional<pool_record> planLeave(budget_holder &Holder,
+                                     const budget_timing &Timing, instant Now);
 
 /// How a conditional update ended.
 enum class update_result : std::uint8_t {
--- a/Libraries/Gateway/peers.cpp
+++ b/Libraries/Gateway/peers.cpp
@@ -154,7 +154,7 @@
   if (!Node.Leaving)
     Next = planUpdate(Node.Budget, Node.Settings.Budget, Moment.Now);
   else if (Idle)
-    Next = planLeave(Node.Budget);
+    Next = planLeave(Node.Budget, Node.Settings.Budget, Moment.Now);
   if (Next)
     Actions.push_back(write_record{*Next});
 }
--- a/Tests/gateway_test.cpp
+++ b/Tests/gateway_test.cpp
@@ -24,6 +24,7 @@
   std::map<std::uint64_t, finish_request> Finished;
   std::vector<send_to_target> Sent;
   std::vector<send_to_peer> ToPeers;
+  std::vector<write_record> Written;
   std::uint64_t NextToken = 1;
 
   void step(const gateway_event &Event, instant Now) {
@@ -34,6 +35,8 @@
         Sent.push_back(*Send);
       else if (auto *Peer = std::get_if<send_to_peer>(&Action))
         ToPeers.push_back(*Peer);
+      else if (auto *Write = std::get_if<write_record>(&Action))
+        Written.push_back(*Write);
     }
   }
 
@@ -207,3 +210,26 @@
   Gateway.arrive(work_class::Idempotent, Old + Settings.StallLimit);
   LONGS_EQUAL(1, Gateway.Sent.size());
 }
+
+// Symptom: a gateway that is asked to stop waits for its limit of ten minutes.
+// Sequence: it has lent units to a peer, which dies; then it is asked to stop.
+// Cause: only a gateway that stays took back what it had lent to the dead.
+TEST(Gateway, AGatewayLeavesThoughItsBorrowerIsDead) {
+  Gateway.serve(100);
+  Gateway.step(
+      peer_message_arrived{
+          Witness,
+          loan_message{
+              loan_message::kind::Borrow, {}, "g-2/1", PowerResource, 10}},
+      Start);
+  LONGS_EQUAL(1, Gateway.ToPeers.size());
+  Gateway.step(holder_dead{Witness}, Start);
+  Gateway.step(drain_changed{true, true}, Start);
+  Gateway.Written.clear();
+  Gateway.step(clock_tick{}, Start + seconds(1));
+  // The borrower's last work may run until then.
+  LONGS_EQUAL(0, Gateway.Written.size());
+  Gateway.step(clock_tick{}, Start + budget_timing{}.ReclaimDelay);
+  LONGS_EQUAL(1, Gateway.Written.size());
+  CHECK(!Gateway.Written[0].Proposed.Shares.contains(Self));
+}
