Gateway: says what it still waits for while it leaves

A gateway that doesn't end said nothing of why, so that the cause of gateways that hang had to be found from the code. Every 5 s a line a site: work, work of unknown end, loans given, taken and returning, the record's version, whether an update is under way.

--- a/Services/Gateway/gateway_daemon.cpp
+++ b/Services/Gateway/gateway_daemon.cpp
@@ -14,6 +14,8 @@
 /// More exchanges than this wait for a thread; slots bound them far lower.
 static constexpr std::size_t MaxWorkers = 1'024;
 static constexpr duration TickPeriod = std::chrono::milliseconds(50);
+/// Time between lines that say what a leaving gateway still waits for.
+static constexpr duration LeavingReport = std::chrono::seconds(5);
 
 static link_identity identityOf(const instance_settings &Settings) {
   link_identity Identity;
@@ -314,8 +316,14 @@
     for (auto &[Site, Shard] : Shards)
       step(*Shard, drain_changed{true, true});
   });
-  while (currentInstant() < Until && !allLeft())
+  instant NextReport = currentInstant() + LeavingReport;
+  while (currentInstant() < Until && !allLeft()) {
     std::this_thread::sleep_for(TickPeriod);
+    if (currentInstant() < NextReport)
+      continue;
+    NextReport += LeavingReport;
+    logWhatIsLeft();
+  }
   logLine(allLeft() ? log_level::Info : log_level::Warn, "left",
           {{"complete", allLeft() ? "yes" : "no"}});
 }
--- a/Services/Gateway/gateway_daemon.h
+++ b/Services/Gateway/gateway_daemon.h
@@ -121,6 +121,8 @@
   void probeTargets();
   node_shard *findShard(const std::string &NodeId);
   bool allLeft();
+  /// Says what each site's node that hasn't left still waits for.
+  void logWhatIsLeft();
 
   instance_settings Settings;
   rpc_loop Loop;
--- a/Services/Gateway/gateway_view.cpp
+++ b/Services/Gateway/gateway_view.cpp
@@ -180,6 +180,29 @@
       step(*Probe.Shard, target_leaving{Probe.Target});
 }
 
+void gateway_daemon::logWhatIsLeft() {
+  const std::lock_guard Guard(ShardsLock);
+  for (const auto &[Site, Shard] : Shards) {
+    const std::lock_guard NodeGuard(Shard->Lock);
+    const gateway_node &Node = Shard->Node;
+    if (hasLeft(Node))
+      continue;
+    const budget_holder &Budget = Node.Budget;
+    const auto Count = [](const auto &Held) {
+      return std::to_string(Held.size());
+    };
+    logLine(log_level::Info, "still leaving",
+            {{"site", Site},
+             {"work", Count(Node.Work)},
+             {"work_of_unknown_end", Count(Node.Lingering)},
+             {"loans_given", Count(Budget.Given)},
+             {"loans_taken", Count(Budget.Taken)},
+             {"loans_returning", Count(Budget.Returning)},
+             {"record_version", std::to_string(Budget.Record.Version)},
+             {"update_under_way", Budget.Pending ? "yes" : "no"}});
+  }
+}
+
 std::vector<service_offer> gateway_daemon::offers() {
   std::vector<service_offer> Offers;
   const instant Now = currentInstant();
