Deployment script: no shell notes behind a run's result

The check of whose process an id is ran another program between the signals, so that the shell wrote 'Killed' for each daemon after the line with the result. It reads the state itself now, and its notes at the end of a deployment are dropped.

--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -10,8 +10,9 @@
 # stand-in without a report or a play that ended early. All that is started here
 # are this shell's children, and nobody else's processes are.
 is_own() { # is_own PID
-  grep -qsE "^PPid:[[:space:]]$$\$" "/proc/$1/status" &&
-    ! grep -qsE '^State:[[:space:]]Z' "/proc/$1/status"
+  local status=()
+  [ -r "/proc/$1/status" ] && mapfile -d '' status 2>/dev/null <"/proc/$1/status" || return 1
+  [[ ${status[0]:-} =~ PPid:[[:space:]]+$$[[:space:]] && ! ${status[0]} =~ State:[[:space:]]+Z ]]
 }
 
 signal_own() { # signal_own PID SIGNAL
@@ -28,9 +29,9 @@
   local pid
   for pid in "${pids[@]:-}"; do [ -z "$pid" ] || signal_own "$pid" CONT; done
   for pid in "${pids[@]:-}"; do [ -z "$pid" ] || signal_own "$pid" KILL; done
-  for pid in "${pids[@]:-}"; do [ -z "$pid" ] || wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]:-}"; do [ -z "$pid" ] || wait "$pid" || true; done
   pids=()
-}
+} 2>/dev/null # the shell's notes of what was killed
 
 start() { # start LOGNAME PROGRAM ARGUMENTS...
   local log=$work/$1.log name=$1; shift
