--- a/Tests/daemon_stand_ins.cpp
+++ b/Tests/daemon_stand_ins.cpp
@@ -8,7 +8,7 @@
 
 static constexpr duration PollPause = std::chrono::milliseconds(5);
 
-instance_settings stand_in_settings() {
+instance_settings standInSettings() {
   instance_settings Settings;
   Settings.Instance = "self";
   Settings.Region = "north";
--- a/Tests/daemon_stand_ins.h
+++ b/Tests/daemon_stand_ins.h
@@ -22,7 +22,7 @@
 inline constexpr duration HangLimit = std::chrono::seconds(20);
 
 /// Settings of an instance that follows no control.
-instance_settings stand_in_settings();
+instance_settings standInSettings();
 
 /// Waits until \p Holds; false after HangLimit.
 bool waitUntil(const std::function<bool()> &Holds);
--- a/Tests/entry_daemon_test.cpp
+++ b/Tests/entry_daemon_test.cpp
@@ -51,7 +51,7 @@
   std::unique_ptr<stand_in_gateways> Gateways =
       std::make_unique<stand_in_gateways>();
   std::unique_ptr<entry_daemon> Daemon =
-      std::make_unique<entry_daemon>(stand_in_settings());
+      std::make_unique<entry_daemon>(standInSettings());
 
   void setup() override {
     Objects.put(objectKey(kinds::Contract, Customer), 1,
--- a/Tests/gateway_daemon_test.cpp
+++ b/Tests/gateway_daemon_test.cpp
@@ -14,7 +14,7 @@
 const std::string Peer = gatewayNodeId("g-2", "site-a", 2);
 
 instance_settings settingsWith(const stand_in_control &Control) {
-  instance_settings Settings = stand_in_settings();
+  instance_settings Settings = standInSettings();
   Settings.Control.Listen = Control.Address;
   return Settings;
 }
@@ -38,17 +38,17 @@
                                     Gateways->Address, {"site-a"}, "o"}));
     Daemon = std::make_unique<gateway_daemon>(settingsWith(*Control));
     CHECK(Daemon->start().has_value());
-    CHECK(waitUntil([this] { return servedNode() != ""; }));
+    CHECK(waitUntil([this] { return !servedNode().empty(); }));
   }
 
   /// The id of the node that serves site-a; empty until there is one.
   std::string servedNode() {
     std::string Id;
     Daemon->loop().run([&] {
-      const auto Offers = Daemon->statusJson();
-      const auto Place = Offers.find("self/site-a#");
+      const std::string Status = Daemon->statusJson();
+      const auto Place = Status.find("self/site-a#");
       if (Place != std::string::npos)
-        Id = Offers.substr(Place, Offers.find('"', Place) - Place);
+        Id = Status.substr(Place, Status.find('"', Place) - Place);
     });
     return Id;
   }
--- a/Tests/gateway_test.cpp
+++ b/Tests/gateway_test.cpp
@@ -127,8 +127,10 @@
 // The same for what waits already when the last server's death is seen.
 TEST(Gateway, WhatWaitsForDeadServersIsRefusedWithThem) {
   Gateway.serve(100);
+  constexpr std::size_t Waiting = 12;
   std::vector<std::uint64_t> Tokens;
-  for (int Number = 0; Number < 12; ++Number)
+  Tokens.reserve(Waiting);
+  while (Tokens.size() < Waiting)
     Tokens.push_back(Gateway.arrive(work_class::Idempotent, Start));
   Gateway.endAll(target_end::NotReached, Start);
   for (const std::uint64_t Token : Tokens)
