--- a/Tests/Processes/deployment_test.sh
+++ b/Tests/Processes/deployment_test.sh
@@ -31,7 +31,8 @@
 
 check "a foreign process isn't taken for a daemon" is_gone_daemon ended
 check "a running daemon is known as one" runs_daemon alive
-signal ended KILL
+refuses_signal() { ! signal "$1" KILL 2>/dev/null; }
+check "a signal for an ended daemon fails" refuses_signal ended
 check "a signal for an ended daemon reaches nobody else" runs "$foreign"
 end_deployment
 check "the end of the deployment ends what it started" is_gone "$alive"
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -22,7 +22,12 @@
 # By the name under which it was started:
 runs_daemon() { is_own "${pid_of[$1]}"; }
 is_gone_daemon() { ! runs_daemon "$1"; }
-signal() { signal_own "${pid_of[$1]}" "$2"; } # signal LOGNAME SIGNAL
+# Fails when that one has ended by itself: a daemon that crashed must not pass
+# for one that was signalled.
+signal() { # signal LOGNAME SIGNAL
+  runs_daemon "$1" || { echo "$1 has ended by itself" >&2; return 1; }
+  kill "-$2" "${pid_of[$1]}"
+}
 
 # Ends only what was started here, by id.
 end_deployment() {
