Metrics: attempts are counted by region, connection and repeat

Work of a region's callers changed its region and neither logs nor metrics told why: only the sampled line of an attempt names a region, and nothing counts second attempts or connections that had to be opened.

--- a/Libraries/Metrics/metrics.cpp
+++ b/Libraries/Metrics/metrics.cpp
@@ -34,6 +34,11 @@
   Counters[Name] += By;
 }
 
+void metrics_registry::countAttempt(const attempt_labels &Labels) {
+  const std::lock_guard Guard(CounterLock);
+  ++Attempts[Labels];
+}
+
 void metrics_registry::gauge(const std::string &Name,
                              std::function<double()> Read) {
   const std::lock_guard Guard(CounterLock);
@@ -70,6 +75,18 @@
         "\n");
 }
 
+void metrics_registry::exposeAttempts(std::string &Text) const {
+  if (Attempts.empty())
+    return;
+  const char *Name = "amaranthhoist_attempts_total";
+  absl::StrAppend(&Text, "# TYPE ", Name, " counter\n");
+  for (const auto &[Labels, Value] : Attempts)
+    absl::StrAppend(&Text, Name, "{region=\"", escapeLabel(Labels.Region),
+                    "\",connection=\"",
+                    Labels.IsOnKeptConnection ? "kept" : "new", "\",attempt=\"",
+                    Labels.IsRepeat ? "repeat" : "first", "\"} ", Value, "\n");
+}
+
 std::string metrics_registry::expose() const {
   std::string Text = "# TYPE amaranthhoist_request_seconds histogram\n";
   for (const shard &Shard : Shards) {
@@ -81,6 +98,7 @@
   for (const auto &[Name, Value] : Counters)
     absl::StrAppend(&Text, "# TYPE ", Name, " counter\n", Name, " ", Value,
                     "\n");
+  exposeAttempts(Text);
   for (const auto &[Name, Read] : Gauges)
     absl::StrAppend(&Text, "# TYPE ", Name, " gauge\n", Name, " ", Read(),
                     "\n");
--- a/Libraries/Metrics/metrics.h
+++ b/Libraries/Metrics/metrics.h
@@ -13,6 +13,7 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <compare>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -38,6 +39,18 @@
   }
 };
 
+/// Labels of a counter of attempts at backend servers.
+struct attempt_labels {
+  /// The backend server's.
+  std::string Region;
+  /// On a connection that was open already; a new one takes two crossings more
+  /// before the server has the request.
+  bool IsOnKeptConnection = false;
+  /// Not the first attempt for its request.
+  bool IsRepeat = false;
+  auto operator<=>(const attempt_labels &) const = default;
+};
+
 /// All metrics of one process. Sharded by customer, each shard with its own
 /// lock.
 class metrics_registry {
@@ -47,6 +60,7 @@
 
   void observeLatency(const latency_labels &Labels, duration Took);
   void count(const std::string &Name, std::int64_t By = 1);
+  void countAttempt(const attempt_labels &Labels);
   /// Calls \p Read for a gauge's value at each exposition.
   void gauge(const std::string &Name, std::function<double()> Read);
 
@@ -73,10 +87,12 @@
 
   void exposeSeries(const latency_labels &Labels, const series &Series,
                     std::string &Text) const;
+  void exposeAttempts(std::string &Text) const;
 
   std::array<shard, 16> Shards;
   mutable std::mutex CounterLock;
   std::map<std::string, std::int64_t> Counters;
+  std::map<attempt_labels, std::int64_t> Attempts;
   std::map<std::string, std::function<double()>> Gauges;
 };
 
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -96,12 +96,15 @@
   beginAttempt(Node.Steering, Plan, Chosen, AttemptBegan);
   Attempts.push_back({Chosen.Entry.Id, AttemptBegan, {}, {}});
   Connection = Pool.take(Chosen, Plan.Class);
+  const bool IsRepeat = Attempts.size() > 1;
+  Node.Metrics.countAttempt({Chosen.Region, Connection != nullptr, IsRepeat});
   Node.Log.write(log_kind::Attempt, "sent",
                  {{"request", Request.Id},
                   {"server", Chosen.Entry.Id},
                   {"region", Chosen.Region},
                   {"load", estimatedLoad(Chosen, AttemptBegan)},
                   {"kept_connection", Connection != nullptr},
+                  {"repeat", IsRepeat},
                   {"version", configurationVersion(Node)},
                   {"left_us", static_cast<std::int64_t>(
                                   (Plan.Deadline - AttemptBegan).count())}},
