RegionSpread: a region is busy when requests wait, not when it is well used

Cause: work of a region was spread over others above a mean of 0.8 requests a slot.

Why this holds: there is no room when requests wait, so the share grows above one request a slot and shrinks below 0.8; the mean follows the last twenty reports. Overflow widens together with the share, by the same steps.

--- a/Libraries/Placement/region_spread.cpp
+++ b/Libraries/Placement/region_spread.cpp
@@ -4,12 +4,13 @@
 
 namespace amaranthhoist {
 
-/// Weight of a report in the mean: about the last fifty count.
-static constexpr double ReportWeight = 0.02;
-/// Above the first the share grows, below the second it shrinks. Between them
-/// it stays, since each step makes a few objects cold.
-static constexpr double BusyOccupation = 0.8;
-static constexpr double EasyOccupation = 0.5;
+/// Weight of a report in the mean: about the last twenty count.
+static constexpr double ReportWeight = 0.05;
+/// Requests wait on average: above this the share grows.
+static constexpr double BusyOccupation = 1.0;
+/// Below this it shrinks. Between them it stays, since each step makes a few
+/// objects cold.
+static constexpr double EasyOccupation = 0.8;
 
 void noteOccupation(region_spread &Spread, int Requests, int Slots) {
   if (Slots <= 0)
--- a/Libraries/Placement/region_spread.h
+++ b/Libraries/Placement/region_spread.h
@@ -1,9 +1,9 @@
 /// How much of a region's work is spread over all regions because its own
 /// backend servers are busy. Work of a region with room stays there. As its
 /// servers fill, its share elsewhere grows in bounded steps, so that little of
-/// it changes its region at a time, and shrinks the same way. All nodes of a
-/// region read the same servers' reports and so agree, without talking.
-/// Sans-I/O.
+/// it changes its region at a time, and shrinks the same way. The nodes of a
+/// region read the same servers' reports, each a sample of them, and so nearly
+/// agree without talking. Sans-I/O.
 #pragma once
 
 #include "Core/core.h"
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -207,7 +207,7 @@
       std::max({LeastSpread, SpreadWhenShort * Lacking, Weights.Spread.Share});
   Weights.First = regionWeights(Slots, Steering.OwnRegion, 1 - Spread);
   Weights.Overflow = regionWeights(Slots, Steering.OwnRegion,
-                                   1 - std::max(Spread, OverflowSpread));
+                                   1 - OverflowSpread - Weights.Spread.Share);
   return Weights;
 }
 
