Beliefs: a line when the spread of a region's work changes

How much of its work a region gives away is a belief that moves requests, and nothing said when it changed or why.

--- a/Services/Node/beliefs.cpp
+++ b/Services/Node/beliefs.cpp
@@ -16,6 +16,21 @@
   if (listIsSure())
     removeMissing(Node.Steering.Targets);
   freeDeparted(Node.Steering.Targets);
+  tellSpreads();
+}
+
+void beliefs::tellSpreads() {
+  for (const auto &[Service, Weights] : Node.Steering.Weights) {
+    double &Told = ToldSpreads[Service];
+    if (Told == Weights.Spread.Share)
+      continue;
+    Told = Weights.Spread.Share;
+    Node.Log.write(log_kind::Belief, "region_spread",
+                   {{"service", Service},
+                    {"share", Weights.Spread.Share},
+                    {"occupation", Weights.Spread.Occupation}},
+                   Node.Loop.now());
+  }
 }
 
 void beliefs::noteTrouble() { noteStoreTrouble(Trust, Node.Loop.now()); }
--- a/Services/Node/beliefs.h
+++ b/Services/Node/beliefs.h
@@ -39,11 +39,15 @@
   void tellUnreadable(object_kind Kind, std::string_view Name,
                       std::string_view Why);
   void keepHouse();
+  void tellSpreads();
 
   node &Node;
   object_cache Cache;
   list_trust Trust;
   instant ConfigurationSince{};
+  /// Shares of the work that is spread over all regions, by service, as the log
+  /// has them.
+  text_map<double> ToldSpreads;
 };
 
 } // namespace amaranthhoist
--- a/Tests/NodeProcesses/explain_test.cpp
+++ b/Tests/NodeProcesses/explain_test.cpp
@@ -90,3 +90,25 @@
   CHECK(says(Trace, "the node's process ended before the request did"));
   CHECK(says(Trace, "under_way after"));
 }
+
+// Work of a region goes elsewhere and the node's log doesn't say when or why.
+TEST(Explain, TheSpreadOfARegionsWorkIsLoggedWithItsCause) {
+  small_fleet Fleet;
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->Load = "4,8,4";
+  constexpr int Requests = 30;
+  for (int Index = 0; Index < Requests; ++Index)
+    LONGS_EQUAL(200,
+                Fleet.ask(*Fleet.Node, "/safe/x", cat("id-", Index)).Status);
+  const auto IsLogged = [&] {
+    const std::string Log = Fleet.logOf(*Fleet.Node);
+    const std::size_t Line = Log.find("\"region_spread\"");
+    return Line != std::string::npos &&
+           Log.find("\"occupation\":", Line) != std::string::npos;
+  };
+  CHECK(Fleet.runUntil([&] {
+    // Steps are taken as requests come.
+    Fleet.ask(*Fleet.Node, "/safe/x", "id-last");
+    return IsLogged();
+  }));
+}
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -50,7 +50,7 @@
   const std::string Body = bodyFor(RequestId);
   const std::string Id = cat("X-Attempt-Id: ", RequestId, "\r\n");
   const std::string Fields = cat(Id, "X-Response-Stamp: stamp-", RequestId,
-                                 "\r\nX-Server-Load: 1,0,4\r\n");
+                                 "\r\nX-Server-Load: ", Load, "\r\n");
   switch (Behavior) {
   case behavior::Sound:
   case behavior::Sheds:
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -35,6 +35,8 @@
   behavior Behavior = behavior::Sound;
   /// Time of the work.
   duration Work = std::chrono::milliseconds(20);
+  /// What its answers say of its load: running, waiting, slots.
+  std::string Load = "1,0,4";
   const std::string Id;
   /// How often each request was run, by its id.
   std::map<std::string, int> Runs;
