Placement: one function ranks both places of an object

The ranking by one list of weights was left to tests alone after Steering took both. The weights of both places stand in the request; the test of home regions now holds both rankings to it.

--- a/Libraries/Metrics/metrics.h
+++ b/Libraries/Metrics/metrics.h
@@ -13,7 +13,6 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
-#include <compare>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -48,7 +47,10 @@
   bool IsOnKeptConnection = false;
   /// Not the first attempt for its request.
   bool IsRepeat = false;
-  auto operator<=>(const attempt_labels &) const = default;
+  bool operator<(const attempt_labels &Other) const {
+    return std::tie(Region, IsOnKeptConnection, IsRepeat) <
+           std::tie(Other.Region, Other.IsOnKeptConnection, Other.IsRepeat);
+  }
 };
 
 /// All metrics of one process. Sharded by customer, each shard with its own
--- a/Libraries/Placement/placement.cpp
+++ b/Libraries/Placement/placement.cpp
@@ -96,20 +96,12 @@
   return Regions;
 }
 
-ranking rankTargets(const target_directory &Directory,
-                    std::span<target *const> Targets,
-                    const rank_request &Request, instant Now) {
+place_rankings rankTargets(const target_directory &Directory,
+                           std::span<target *const> Targets,
+                           const rank_request &Request, instant Now) {
   const auto Regions = bestByRegion(Directory, Targets, Request, Now);
-  return merge(Regions, Request.Weights);
-}
-
-place_rankings rankPlaces(const target_directory &Directory,
-                          std::span<target *const> Targets,
-                          const rank_request &Request,
-                          std::span<const double> OverflowWeights,
-                          instant Now) {
-  const auto Regions = bestByRegion(Directory, Targets, Request, Now);
-  return {merge(Regions, Request.Weights), merge(Regions, OverflowWeights)};
+  return {merge(Regions, Request.FirstWeights),
+          merge(Regions, Request.OverflowWeights)};
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Placement/placement.h
+++ b/Libraries/Placement/placement.h
@@ -26,21 +26,6 @@
   }
 };
 
-/// What the ranking of an object depends on beside the servers.
-struct rank_request {
-  std::uint64_t KeyHash = 0;
-  /// Servers elsewhere aren't ranked; empty: all are.
-  std::span<const std::string> HomeRegions;
-  /// By region: a server with twice the weight is first for twice as many
-  /// objects. Empty: all alike.
-  std::span<const double> Weights;
-};
-
-/// Ranks the usable servers among \p Targets.
-ranking rankTargets(const target_directory &Directory,
-                    std::span<target *const> Targets,
-                    const rank_request &Request, instant Now);
-
 /// An object's servers in the order of preference for its first place, and for
 /// the place that takes what the first has no room for.
 struct place_rankings {
@@ -48,12 +33,20 @@
   ranking Overflow;
 };
 
-/// Ranks the usable servers for both places in one pass. The weights of
-/// \p Request are those of the first place; \p OverflowWeights those of the
-/// other.
-place_rankings rankPlaces(const target_directory &Directory,
-                          std::span<target *const> Targets,
-                          const rank_request &Request,
-                          std::span<const double> OverflowWeights, instant Now);
+/// What the rankings of an object depend on beside the servers. Weights are by
+/// region: a server with twice the weight is first for twice as many objects;
+/// empty: all alike.
+struct rank_request {
+  std::uint64_t KeyHash = 0;
+  /// Servers elsewhere aren't ranked; empty: all are.
+  std::span<const std::string> HomeRegions;
+  std::span<const double> FirstWeights;
+  std::span<const double> OverflowWeights;
+};
+
+/// Ranks the usable servers among \p Targets for both places.
+place_rankings rankTargets(const target_directory &Directory,
+                           std::span<target *const> Targets,
+                           const rank_request &Request, instant Now);
 
 } // namespace amaranthhoist
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -253,9 +253,10 @@
   const std::vector<target *> &Targets = Found->second;
   const service_weights &Weights =
       weightsOf(Steering, Plan.Service, Targets, Now);
-  const place_rankings Rankings = rankPlaces(
-      Steering.Targets, Targets,
-      {Plan.KeyHash, Plan.HomeRegions, Weights.First}, Weights.Overflow, Now);
+  const rank_request Request{Plan.KeyHash, Plan.HomeRegions, Weights.First,
+                             Weights.Overflow};
+  const place_rankings Rankings =
+      rankTargets(Steering.Targets, Targets, Request, Now);
   Weighed.HasServers = Rankings.First.Count > 0;
   const double QueueRoom = queueRoomFor(Steering, Plan);
   target *First = firstBearing(Steering, Plan, Rankings.First, nullptr, Now);
--- a/Tests/placement_test.cpp
+++ b/Tests/placement_test.cpp
@@ -29,10 +29,10 @@
 
 std::string firstFor(target_directory &Directory, int Object,
                      std::span<const double> Weights = {}) {
-  const ranking Ranking =
-      rankTargets(Directory, Directory.ByService["desk"],
-                  {stableHash(std::to_string(Object)), {}, Weights}, instant());
-  return Ranking.Targets[0]->Entry.Id;
+  const place_rankings Rankings = rankTargets(
+      Directory, Directory.ByService["desk"],
+      {stableHash(std::to_string(Object)), {}, Weights, {}}, instant());
+  return Rankings.First.Targets[0]->Entry.Id;
 }
 
 constexpr int Objects = 2'000;
@@ -105,11 +105,13 @@
   target_directory Directory = makeDirectory(3, 3);
   const std::vector<std::string> Homes = {"b"};
   for (int Object = 0; Object < 100; ++Object) {
-    const ranking Ranking =
-        rankTargets(Directory, Directory.ByService["desk"],
-                    {stableHash(std::to_string(Object)), Homes, {}}, instant());
-    LONGS_EQUAL(3, Ranking.Count);
-    for (const target *Target : Ranking.targets())
-      CHECK(Target->Region == "b");
+    const place_rankings Rankings = rankTargets(
+        Directory, Directory.ByService["desk"],
+        {stableHash(std::to_string(Object)), Homes, {}, {}}, instant());
+    for (const ranking *Ranking : {&Rankings.First, &Rankings.Overflow}) {
+      LONGS_EQUAL(3, Ranking->Count);
+      for (const target *Target : Ranking->targets())
+        CHECK(Target->Region == "b");
+    }
   }
 }
