Node: lines name what a request asks for, and which servers crashed under it

Two attempts for the same thing couldn't be tied together from the nodes' lines: they have the request's id, which is new for each attempt of a caller. And a server that crashed looked like one that lost an answer.

The lines of attempts and ends carry a hash of method, host, path, query, object, credentials and body; callers' bodies and keys stay out of the logs. After a connection has broken off under work, a new one is tried: refused or unanswered, the server has crashed, and a line says so with the contents that were there. No decision depends on it yet.

Test: CrashProbe ACrashIsToldFromALostAnswer (node processes against stand-ins, one that crashes and one that resets after the work).

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "caller_connection.h"
 
+#include "Quarantine/quarantine.h"
 #include "Text/text.h"
 #include "caller_server.h"
 
@@ -224,6 +225,9 @@
       appendField(Request.Fields, Field.Name, Field.Value);
   }
   Request.Body = std::move(Reader.body());
+  Request.Content = contentHash(
+      {Request.Method, Request.Host, Request.Target, Request.ObjectKey,
+       Head.find("authorization").value_or(""), Request.Body});
   return Request;
 }
 
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -1,12 +1,10 @@
 #include "exchange.h"
 
+#include "Quarantine/quarantine.h"
 #include "Text/text.h"
 
 namespace amaranthhoist {
 
-/// How long a connection may take to stand: three round trips between the
-/// farthest regions. A server without power never answers at all.
-static constexpr duration ConnectTime = std::chrono::milliseconds(250);
 /// A server ends its work at the deadline it was told and says so itself; its
 /// answer is awaited this much longer before this node answers instead.
 static constexpr duration DeadlineGrace = std::chrono::milliseconds(120);
@@ -21,7 +19,8 @@
 exchange::exchange(node &Node, target_pool &Pool, exchange_caller &Caller,
                    caller_request InitialRequest)
     : Node(Node), Pool(Pool), Caller(&Caller),
-      Request(std::move(InitialRequest)) {}
+      Request(std::move(InitialRequest)),
+      ContentName(contentName(Request.Content)) {}
 
 exchange::~exchange() {
   Node.Loop.cancel(DeadlineTimer);
@@ -100,6 +99,7 @@
   Node.Metrics.countAttempt({Chosen.Region, Connection != nullptr, IsRepeat});
   Node.Log.write(log_kind::Attempt, "sent",
                  {{"request", Request.Id},
+                  {"content", ContentName},
                   {"server", Chosen.Entry.Id},
                   {"region", Chosen.Region},
                   {"load", estimatedLoad(Chosen, AttemptBegan)},
@@ -221,6 +221,7 @@
   if (Result != attempt_result::Unreachable) {
     ++Plan.Arrivals;
     Plan.MayHaveRun = true;
+    Pool.noteBroken(*Target, Request.Content);
   }
   endAttempt(Result);
   if (Result != attempt_result::Cancelled)
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -27,6 +27,8 @@
   /// The fields that are passed on, each with its line end.
   std::string Fields;
   std::string Body;
+  /// Names what it asks for: the same for each attempt of a caller.
+  std::uint64_t Content = 0;
   /// Whether a body was sent, be it empty.
   bool HasBody = false;
   std::optional<duration> TimeLeft;
@@ -104,7 +106,7 @@
                  std::string_view Why);
   void over();
   /// Fields of a request's last line; room for those of a refusal.
-  using log_fields = absl::InlinedVector<log_entry, 19>;
+  using log_fields = absl::InlinedVector<log_entry, 20>;
   /// \p Made: describeAttempts(), which outlives the fields.
   log_fields finalFields(std::string_view Why, int WithStatus,
                          std::string_view Made) const;
@@ -120,6 +122,8 @@
   target_pool &Pool;
   exchange_caller *Caller;
   caller_request Request;
+  /// As in the log.
+  const std::string ContentName;
   request_plan Plan;
   bool HasPlan = false;
   timer_id DeadlineTimer = 0;
--- a/Services/Node/exchange_log.cpp
+++ b/Services/Node/exchange_log.cpp
@@ -45,6 +45,7 @@
                                            std::string_view Made) const {
   const instant Now = Node.Loop.now();
   return {{"request", Request.Id},
+          {"content", ContentName},
           {"service", Plan.Service},
           {"why", Why},
           {"status", static_cast<std::int64_t>(WithStatus)},
--- a/Services/Node/target_pool.cpp
+++ b/Services/Node/target_pool.cpp
@@ -20,7 +20,7 @@
 static constexpr duration Silence = std::chrono::milliseconds(1'200);
 static constexpr duration SweepPeriod = std::chrono::seconds(1);
 
-target_pool::target_pool(node &Node) : Node(Node) {
+target_pool::target_pool(node &Node) : Node(Node), Crashes(Node) {
   Node.Loop.every(SweepPeriod, [this] { sweep(); });
 }
 
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -253,7 +253,8 @@
                 std::string_view Method, std::string_view Body) {
   std::string Request =
       cat(Method, " ", Path, " HTTP/1.1\r\nHost: shop.example\r\n",
-          "X-Attempt-Id: ", Id, "\r\nX-Affinity-Key: ", Id,
+          "X-Attempt-Id: ", Id,
+          "\r\nX-Affinity-Key: ", ObjectKey.empty() ? Id : ObjectKey,
           "\r\nX-Deadline-Remaining: ", DeadlineMs, "\r\n");
   if (!Body.empty())
     append(Request, "Content-Length: ", Body.size(), "\r\n");
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -78,6 +78,8 @@
   bool HasSeeds = true;
   /// How long callers wait, milliseconds.
   int DeadlineMs = 3'000;
+  /// The object that callers ask for; empty: each request another one.
+  std::string ObjectKey;
 
   /// A backend server of service "desk", listed in the store.
   target_stand_in &addTarget(const std::string &Id,
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -30,9 +30,19 @@
   ++Runs[RequestId];
   UnderWay[Connection.Number] = RequestId;
   const std::uint64_t Number = Connection.Number;
+  if (!DeadlyPath.empty() && Head.target() == DeadlyPath) {
+    Loop.after(Work, [this] { crash(); });
+    return;
+  }
   Loop.after(Work, [this, Number, RequestId] { finish(Number, RequestId); });
 }
 
+void target_stand_in::crash() {
+  HasCrashed = true;
+  UnderWay.clear();
+  goDown();
+}
+
 void target_stand_in::onConnectionEnd(stand_in_connection &Connection) {
   auto Found = UnderWay.find(Connection.Number);
   if (Found == UnderWay.end())
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -38,6 +38,11 @@
   /// What its answers say of its load: running, waiting, slots.
   std::string Load = "1,0,4";
   const std::string Id;
+  /// Requests for this path end the server's process while it runs them; empty:
+  /// none.
+  std::string DeadlyPath;
+  /// Whether its process has ended so.
+  bool HasCrashed = false;
   /// How often each request was run, by its id.
   std::map<std::string, int> Runs;
   /// Requests whose connection ended while they were worked on.
@@ -52,6 +57,7 @@
   void onRequest(stand_in_connection &Connection) override;
   void onConnectionEnd(stand_in_connection &Connection) override;
   void finish(std::uint64_t Number, const std::string &RequestId);
+  void crash();
 
   /// Requests under way, by connection.
   std::map<std::uint64_t, std::string> UnderWay;
