Quarantine: a request that crashed three servers is sent to none

What callers saw: servers of one service ended one after the other, 35 and 28 of them, and a tenth of the jobs failed meanwhile.

Cause: nothing in a node was known by what a request asks for. A request that ends the servers which run it was new each time it came, at each node, and idempotent ones went to a second server at once. Evidence: lines by content and probes of broken servers (three nodes, twelve servers: one content, ten ended, one in two by a repeat); overload ruled out (servers up for 18 s, 1 to 8 requests in the second of their end).

Servers that crashed are counted by content; from the third on chooseTarget(), through which every first and repeated attempt goes, refuses it. Nodes tell suspicions to the two that count the content and quarantines to all. A sound answer voids what was counted, so that a popular page outlives an outage; one node tries a quarantined content now and then.

--- a/Libraries/Core/core.h
+++ b/Libraries/Core/core.h
@@ -72,6 +72,11 @@
 /// all instances rank alike. \p Seed separates independent uses.
 std::uint64_t stableHash(std::string_view Text, std::uint64_t Seed = 0);
 
+/// Orders members, named by their hashes, for something that has the hash
+/// \p Hash: all instances get the same order without talking (rendezvous
+/// hashing). The highest comes first.
+std::uint64_t rendezvousRank(std::uint64_t Member, std::uint64_t Hash);
+
 } // namespace amaranthhoist
 
 /// Evaluates to the value of a result, or returns its error from the caller.
--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/fleet.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace amaranthhoist {
@@ -24,6 +25,9 @@
 static constexpr std::size_t Draws = 4;
 static constexpr std::size_t LeastDistinct = 3;
 
+/// Draws for a member that is up, as some aren't.
+static constexpr std::size_t PickTries = 8;
+
 using members = std::vector<const fleet_member *>;
 
 double capacityOf(const fleet_member &Member) {
@@ -100,6 +104,36 @@
   return Addresses;
 }
 
+const fleet_member *pickUpMember(fleet &Fleet) {
+  const std::size_t Size = Fleet.Members.size();
+  for (std::size_t Try = 0; Size > 0 && Try < PickTries; ++Try) {
+    const auto Member =
+        std::next(Fleet.Members.begin(),
+                  static_cast<std::ptrdiff_t>(Fleet.Random() % Size));
+    if (isUp(Fleet.Membership, Member->first))
+      return &Member->second;
+  }
+  return nullptr;
+}
+
+members homesOf(const fleet &Fleet, std::uint64_t Hash, std::size_t Count) {
+  using ranked_member = std::pair<std::uint64_t, const fleet_member *>;
+  std::vector<ranked_member> Ranked = {
+      {rendezvousRank(stableHash(Fleet.Own.Name), Hash), nullptr}};
+  for (const auto &[Name, Member] : Fleet.Members)
+    if (isUp(Fleet.Membership, Name))
+      Ranked.emplace_back(rendezvousRank(stableHash(Name), Hash), &Member);
+  Count = std::min(Count, Ranked.size());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Ranked.end(), std::greater<>());
+  members Homes;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    if (Ranked[Index].second)
+      Homes.push_back(Ranked[Index].second);
+  return Homes;
+}
+
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members) {
   std::map<std::string, fleet_member> Next;
   std::set<std::string> Names;
--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -56,6 +56,14 @@
   return true;
 }
 
+std::size_t instancesBefore(std::uint64_t Hash, std::uint64_t OwnHash,
+                            const std::vector<std::uint64_t> &Instances) {
+  const std::uint64_t Own = rendezvousRank(OwnHash, Hash);
+  return static_cast<std::size_t>(std::count_if(
+      Instances.begin(), Instances.end(),
+      [&](std::uint64_t Other) { return rendezvousRank(Other, Hash) > Own; }));
+}
+
 double coldRate(double RequestsPerSecond, std::uint64_t TargetHash,
                 std::uint64_t OwnHash,
                 const std::vector<std::uint64_t> &Instances) {
@@ -63,12 +71,9 @@
   const auto Senders = static_cast<std::size_t>(
       std::max(1.0, std::min(std::floor(Usable),
                              static_cast<double>(Instances.size()))));
-  const std::uint64_t Own = (OwnHash ^ TargetHash) * 0x9e3779b97f4a7c15U;
-  const auto Before = static_cast<std::size_t>(
-      std::count_if(Instances.begin(), Instances.end(), [&](auto Other) {
-        return ((Other ^ TargetHash) * 0x9e3779b97f4a7c15U) > Own;
-      }));
-  return Before < Senders ? Usable / static_cast<double>(Senders) : 0;
+  return instancesBefore(TargetHash, OwnHash, Instances) < Senders
+             ? Usable / static_cast<double>(Senders)
+             : 0;
 }
 
 bool bearsRequest(const target &Target, double OwnRate, instant Now) {
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -47,6 +47,11 @@
 bool takeRepeat(repeat_budget &Budget, const std::string &Service,
                 std::size_t Instances, instant Now);
 
+/// How many of \p Instances come before the one with \p OwnHash in the order
+/// that \p Hash gives them: all instances agree on it without talking.
+std::size_t instancesBefore(std::uint64_t Hash, std::uint64_t OwnHash,
+                            const std::vector<std::uint64_t> &Instances);
+
 /// How many requests a second this instance may send to a cold server that
 /// bears \p RequestsPerSecond from all instances. Only as many instances send
 /// as can each send a whole request a second; the others leave it alone. 0 for
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -10,6 +10,14 @@
   counter @2 :UInt64;
 }
 
+struct CrashReport {
+  content @0 :UInt64;
+  generation @1 :UInt32;
+  servers @2 :List(UInt64);
+  ageUs @3 :Int64;
+  isForAll @4 :Bool;
+}
+
 struct Datagram {
   sender @0 :Text;
   kind @1 :UInt8;
@@ -17,6 +25,7 @@
   onBehalfOf @3 :Text;
   beliefs @4 :List(Belief);
   control @5 :Text;
+  crashes @6 :List(CrashReport);
 }
 
 struct ObjectChange {
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(b85c28ac47d6e2ad);
+CAPNP_DECLARE_SCHEMA(8e2a4f131e9c7f26);
 CAPNP_DECLARE_SCHEMA(9e71e0a2afa59a12);
 CAPNP_DECLARE_SCHEMA(bfc9645bf48c0080);
 CAPNP_DECLARE_SCHEMA(c7e8f9af567096ef);
@@ -44,6 +45,21 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8e2a4f131e9c7f26, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -52,7 +68,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -212,6 +228,108 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContent() const;
+
+  inline  ::uint32_t getGeneration() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline bool getIsForAll() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
+  inline  ::uint32_t getGeneration();
+  inline void setGeneration( ::uint32_t value);
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getServers();
+  inline void setServers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline bool getIsForAll();
+  inline void setIsForAll(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -246,6 +364,9 @@
   inline bool hasControl() const;
   inline  ::capnp::Text::Reader getControl() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -312,6 +433,13 @@
   inline void adoptControl(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownControl();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -787,6 +915,100 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashReport::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getGeneration() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setGeneration( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setServers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setServers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t CrashReport::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CrashReport::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getIsForAll() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getIsForAll() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIsForAll(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -971,6 +1193,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setCrashes( ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool ObjectChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -29,6 +29,22 @@
   return {Bytes.begin(), Bytes.size()};
 }
 
+static void writeCrashes(datagram::Datagram::Builder Root,
+                         std::span<const crash_report> Reports) {
+  auto Crashes = Root.initCrashes(static_cast<unsigned>(Reports.size()));
+  for (unsigned Index = 0; Index < Crashes.size(); ++Index) {
+    const crash_report &Report = Reports[Index];
+    Crashes[Index].setContent(Report.Content);
+    Crashes[Index].setGeneration(Report.Generation);
+    Crashes[Index].setAgeUs(Report.Age.count());
+    Crashes[Index].setIsForAll(Report.IsForAll);
+    auto Servers = Crashes[Index].initServers(
+        static_cast<unsigned>(Report.Servers.size()));
+    for (unsigned At = 0; At < Servers.size(); ++At)
+      Servers.set(At, Report.Servers[At]);
+  }
+}
+
 std::string encodeDatagram(const peer_datagram &Datagram) {
   capnp::MallocMessageBuilder Builder;
   auto Root = Builder.initRoot<datagram::Datagram>();
@@ -45,9 +61,25 @@
     Beliefs[Index].setStatus(static_cast<std::uint8_t>(Belief.Status));
     Beliefs[Index].setCounter(Belief.Counter);
   }
+  writeCrashes(Root, Datagram.Crashes);
   return toBytes(Builder);
 }
 
+static std::vector<crash_report> readCrashes(datagram::Datagram::Reader Root) {
+  std::vector<crash_report> Reports;
+  for (const auto Crash : Root.getCrashes()) {
+    crash_report Report{Crash.getContent(),
+                        Crash.getGeneration(),
+                        {},
+                        duration(Crash.getAgeUs()),
+                        Crash.getIsForAll()};
+    for (const std::uint64_t Server : Crash.getServers())
+      Report.Servers.push_back(Server);
+    Reports.push_back(std::move(Report));
+  }
+  return Reports;
+}
+
 static std::optional<peer_datagram> read(datagram::Datagram::Reader Root) {
   peer_datagram Datagram;
   const unsigned Kind = Root.getKind();
@@ -66,6 +98,7 @@
                                         static_cast<member_status>(Status),
                                         Belief.getCounter()});
   }
+  Datagram.Crashes = readCrashes(Root);
   return Datagram;
 }
 
--- a/Libraries/PeerMessages/peer_messages.h
+++ b/Libraries/PeerMessages/peer_messages.h
@@ -5,10 +5,12 @@
 
 #include "Membership/membership.h"
 #include "ObjectCache/object_cache.h"
+#include "Quarantine/quarantine.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthhoist {
 
@@ -19,6 +21,8 @@
   /// just started and can't reach the store learns of its peers by this.
   std::string Control;
   membership_message Message;
+  /// Contents of requests under which servers crashed.
+  std::vector<crash_report> Crashes;
 };
 
 std::string encodeDatagram(const peer_datagram &Datagram);
--- a/Libraries/RequestTrace/causes.cpp
+++ b/Libraries/RequestTrace/causes.cpp
@@ -41,6 +41,9 @@
     return "refused: the node had no configuration yet";
   if (Why == "no_repeats")
     return "refused: it was not run, and the budget of repeats was used up";
+  if (Why == "quarantined")
+    return cat("refused: servers crashed under its content, ",
+               Line.text("content"));
   if (Why == "leaving")
     return "refused: the node was leaving and could not have ended it in time";
   return cat("refused: ", Why);
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -73,6 +73,8 @@
     return "too_late";
   case refusal::NoRepeats:
     return "no_repeats";
+  case refusal::Quarantined:
+    return "quarantined";
   case refusal::Leaving:
     return "leaving";
   }
@@ -132,6 +134,7 @@
   Plan.KeyHash = HasObject ? objectHash(Route, Facts.ObjectKey)
                            : stableHash(Facts.RequestId);
   Plan.Service = choosePart(Table, Index, Plan.KeyHash);
+  Plan.Content = Facts.Content;
   Plan.Class = Route.Class;
   Plan.Priority = Route.Priority;
   Plan.MaxAttempts = Route.MaxAttempts;
@@ -281,8 +284,20 @@
   return SecondHasRoom ? &Second : nullptr;
 }
 
+/// Whether this instance is the one that tries a quarantined content.
+static bool makesTrials(const steering &Steering, std::uint64_t Content) {
+  return !Steering.Instances.empty() &&
+         instancesBefore(Content, Steering.Instances.front(),
+                         Steering.Instances) == 0;
+}
+
 tl::expected<target *, refusal>
 chooseTarget(steering &Steering, const request_plan &Plan, instant Now) {
+  const std::uint64_t Content = Plan.Content;
+  if (isQuarantined(Steering.Quarantine, Content) &&
+      !mayBeSent(Steering.Quarantine, Content, makesTrials(Steering, Content),
+                 Now))
+    return tl::unexpected(refusal::Quarantined);
   if (Plan.Deadline - Now < LeastTime)
     return tl::unexpected(refusal::TooLate);
   const weighed_places Weighed = weighPlaces(Steering, Plan, Now);
@@ -305,6 +320,8 @@
 void beginAttempt(steering &Steering, request_plan &Plan, target &Target,
                   instant Now) {
   ++Plan.Attempts;
+  if (isQuarantined(Steering.Quarantine, Plan.Content))
+    noteTrial(Steering.Quarantine, Plan.Content, Now);
   noteSent(Target, Now);
   if (Now < Target.ColdUntil)
     countColdRequest(Target, ownColdRate(Steering, Target), Now);
@@ -330,8 +347,9 @@
   return OnlyStale ? attempt_result::Cancelled : attempt_result::Failed;
 }
 
-duration retryAfter(const request_plan &Plan, std::string_view RequestId,
-                    instant Now) {
+/// A time within the caller's patience, drawn by the request's id.
+static duration spreadReturn(const request_plan &Plan,
+                             std::string_view RequestId, instant Now) {
   const duration Left = std::max(duration::zero(), Plan.Deadline - Now);
   const duration Longest = std::min(
       LongestReturn, duration(static_cast<std::int64_t>(
@@ -343,4 +361,18 @@
                         stableHash(RequestId, Range) % Range));
 }
 
+duration retryAfter(const steering &Steering, const request_plan &Plan,
+                    refusal Reason, std::string_view RequestId, instant Now) {
+  switch (Reason) {
+  case refusal::Leaving:
+    // Other instances can serve it at once.
+    return duration::zero();
+  case refusal::Quarantined:
+    return std::max(untilTrial(Steering.Quarantine, Plan.Content, Now),
+                    Steering.Quarantine.Policy.FirstTrial);
+  default:
+    return spreadReturn(Plan, RequestId, Now);
+  }
+}
+
 } // namespace amaranthhoist
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -6,6 +6,7 @@
 #include "Core/core.h"
 #include "Pacing/pacing.h"
 #include "Placement/region_spread.h"
+#include "Quarantine/quarantine.h"
 #include "RouteTable/route_table.h"
 #include "Targets/targets.h"
 
@@ -36,6 +37,8 @@
   std::optional<route_table> Routes;
   target_directory Targets;
   repeat_budget Repeats;
+  /// Requests that crash the servers which run them.
+  quarantine Quarantine;
   /// Hashes of all instances, this one's first.
   std::vector<std::uint64_t> Instances;
   /// Index of this instance's region.
@@ -55,6 +58,8 @@
 struct request_plan {
   std::string Service;
   std::uint64_t KeyHash = 0;
+  /// Names what it asks for (contentHash()).
+  std::uint64_t Content = 0;
   work_class Class = work_class::NonIdempotent;
   int Priority = 0;
   int MaxAttempts = 1;
@@ -86,6 +91,8 @@
   TooLate,
   /// Repeats are used up.
   NoRepeats,
+  /// Servers crash under requests of its content.
+  Quarantined,
   /// This instance leaves and couldn't end the request in time.
   Leaving,
 };
@@ -104,6 +111,8 @@
   /// How long the caller will wait, if it says so.
   std::optional<duration> TimeLeft;
   instant Arrived{};
+  /// Names what it asks for (contentHash()).
+  std::uint64_t Content = 0;
 };
 
 /// The longest time that a request may take by the routes in force.
@@ -186,10 +195,11 @@
 /// connection that ends at once was most likely closed for having been idle.
 attempt_result resultOf(const broken_attempt &Attempt);
 
-/// When a refused caller should come back: spread, so that those refused
-/// together don't return together, and soon enough that there is time left to
-/// serve them.
-duration retryAfter(const request_plan &Plan, std::string_view RequestId,
-                    instant Now);
+/// When a caller who was refused for \p Reason should come back. Mostly spread,
+/// so that those refused together don't return together, and soon enough that
+/// there is time left to serve them; for a quarantined content, when it is
+/// tried again.
+duration retryAfter(const steering &Steering, const request_plan &Plan,
+                    refusal Reason, std::string_view RequestId, instant Now);
 
 } // namespace amaranthhoist
--- a/Services/Node/crash_probe.cpp
+++ b/Services/Node/crash_probe.cpp
@@ -15,6 +15,7 @@
 /// Servers probed at a time. When more break off at once a whole site or link
 /// is down, and no single request is the reason.
 static constexpr std::size_t MostProbes = 64;
+static constexpr duration ForgetPeriod = std::chrono::seconds(1);
 
 /// One connection that is tried, and the requests that were under way at its
 /// server.
@@ -22,7 +23,9 @@
 public:
   connection_attempt(crash_probe &Probe, const target &Target)
       : Probe(Probe), Loop(Probe.Node.Loop), Serial(Target.Serial),
-        Server(Target.Entry.Id), Stream(Loop, *this) {}
+        Server(Target.Entry.Id),
+        StartHash(serverStartHash(Server, Target.Entry.StartedAtMs)),
+        Stream(Loop, *this) {}
   ~connection_attempt() override { Loop.cancel(Timer); }
 
   /// False when the connection fails at once.
@@ -45,6 +48,7 @@
   }
 
   [[nodiscard]] const std::string &server() const { return Server; }
+  [[nodiscard]] std::uint64_t startHash() const { return StartHash; }
   [[nodiscard]] const std::vector<std::uint64_t> &contents() const {
     return Contents;
   }
@@ -64,12 +68,23 @@
   event_loop &Loop;
   const std::uint64_t Serial;
   const std::string Server;
+  const std::uint64_t StartHash;
   std::vector<std::uint64_t> Contents;
   stream Stream;
   timer_id Timer = 0;
 };
 
-crash_probe::crash_probe(node &Node) : Node(Node) {}
+crash_probe::crash_probe(node &Node) : Node(Node) {
+  Node.Loop.every(ForgetPeriod, [&Node] {
+    forgetOldRecords(Node.Steering.Quarantine, Node.Loop.now());
+  });
+  Node.Metrics.gauge("amaranthhoist_quarantined_contents", [&Node] {
+    return static_cast<double>(countQuarantined(Node.Steering.Quarantine));
+  });
+  Node.Metrics.gauge("amaranthhoist_crash_records_left_out", [&Node] {
+    return static_cast<double>(Node.Steering.Quarantine.LeftOut);
+  });
+}
 
 crash_probe::~crash_probe() = default;
 
@@ -97,17 +112,23 @@
     return;
   std::unique_ptr<connection_attempt> Attempt = std::move(Found->second);
   Attempts.erase(Found);
-  if (!IsAlive) {
-    std::string Names;
-    for (std::uint64_t Content : Attempt->contents())
-      append(Names, Names.empty() ? "" : ",", contentName(Content));
-    Node.Log.write(log_kind::Belief, "server_crashed",
-                   {{"server", Attempt->server()}, {"contents", Names}},
-                   Node.Loop.now());
-  }
+  if (!IsAlive)
+    takeCrash(*Attempt);
   Node.Metrics.count(IsAlive ? "amaranthhoist_answers_lost_total"
                              : "amaranthhoist_servers_crashed_total");
   Node.Retired.push_back(std::move(Attempt));
 }
 
+void crash_probe::takeCrash(const connection_attempt &Attempt) {
+  std::string Names;
+  for (std::uint64_t Content : Attempt.contents()) {
+    append(Names, Names.empty() ? "" : ",", contentName(Content));
+    logQuarantine(Node, noteCrash(Node.Steering.Quarantine, Content,
+                                  Attempt.startHash(), Node.Loop.now()));
+  }
+  Node.Log.write(log_kind::Belief, "server_crashed",
+                 {{"server", Attempt.server()}, {"contents", Names}},
+                 Node.Loop.now());
+}
+
 } // namespace amaranthhoist
--- a/Services/Node/crash_probe.h
+++ b/Services/Node/crash_probe.h
@@ -23,6 +23,7 @@
 private:
   class connection_attempt;
   void end(std::uint64_t Serial, bool IsAlive);
+  void takeCrash(const connection_attempt &Attempt);
 
   node &Node;
   /// By the server's serial.
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -48,8 +48,9 @@
 }
 
 void exchange::place() {
-  const request_facts Facts{Request.Host, Request.path(),   Request.ObjectKey,
-                            Request.Id,   Request.TimeLeft, Request.Arrived};
+  const request_facts Facts{Request.Host,   Request.path(),   Request.ObjectKey,
+                            Request.Id,     Request.TimeLeft, Request.Arrived,
+                            Request.Content};
   auto Planned = planRequest(Node.Steering, Facts);
   if (!Planned) {
     refuse(Planned.error());
@@ -193,6 +194,9 @@
   }
   Plan.MayHaveRun = true;
   const bool ServerFailed = Status >= 500;
+  if (!ServerFailed)
+    logQuarantine(Node, noteSoundAnswer(Node.Steering.Quarantine, Plan.Content,
+                                        Node.Loop.now()));
   const std::string Id = Target->Entry.Id;
   endAttempt(ServerFailed && Status != 504 ? attempt_result::Failed
                                            : attempt_result::Answered);
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -104,10 +104,8 @@
     if (!HasPlan)
       Plan.Deadline =
           Node.Loop.now() + Request.TimeLeft.value_or(std::chrono::seconds(1));
-    // Other instances can serve it at once.
-    Return = Reason == refusal::Leaving
-                 ? duration::zero()
-                 : retryAfter(Plan, Request.Id, Node.Loop.now());
+    Return =
+        retryAfter(Node.Steering, Plan, Reason, Request.Id, Node.Loop.now());
   }
   answerOwn(statusOf(Reason), Return, toString(Reason));
 }
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -25,6 +25,17 @@
   return Routes ? static_cast<std::int64_t>(Routes->Configuration.Version) : 0;
 }
 
+void logQuarantine(node &Node, const std::optional<quarantine_change> &Change) {
+  if (!Change)
+    return;
+  Node.Log.write(log_kind::Belief,
+                 Change->IsQuarantined ? "content_quarantined"
+                                       : "content_released",
+                 {{"content", contentName(Change->Content)},
+                  {"crashes", static_cast<std::int64_t>(Change->Crashes)}},
+                 Node.Loop.now());
+}
+
 void retireConnection(node &Node,
                       std::unique_ptr<client_connection> &Connection) {
   struct retired_connection : retirable {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -49,6 +49,9 @@
 /// The version of the configuration in force; 0: none yet.
 std::int64_t configurationVersion(const node &Node);
 
+/// Tells that a content was put under quarantine or released, if it was.
+void logQuarantine(node &Node, const std::optional<quarantine_change> &Change);
+
 /// Closes a connection, if there is one, and destroys it after the present
 /// round of events.
 void retireConnection(node &Node,
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -10,6 +10,8 @@
 
 /// Clock of the membership: a few ticks within its shortest timeout (300 ms).
 static constexpr duration TickPeriod = std::chrono::milliseconds(150);
+/// Others that get news in one tick.
+static constexpr int NewsReceivers = 2;
 /// Larger than any datagram that is sent.
 static constexpr std::size_t MaxDatagram = 8'192;
 
@@ -34,8 +36,14 @@
 }
 
 void peer_link::send(const membership_message &Message, const endpoint &To) {
-  const std::string Bytes = encodeDatagram(
-      {Node.Settings.Instance, Node.Settings.Listen.Control, Message});
+  send(Message, reportInTurn(Node.Steering.Quarantine, Node.Loop.now()), To);
+}
+
+void peer_link::send(const membership_message &Message,
+                     std::vector<crash_report> Crashes, const endpoint &To) {
+  const std::string Bytes =
+      encodeDatagram({Node.Settings.Instance, Node.Settings.Listen.Control,
+                      Message, std::move(Crashes)});
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(To.Port);
@@ -78,7 +86,13 @@
 
 void peer_link::take(std::string_view Bytes, const endpoint &Source) {
   auto Datagram = decodeDatagram(Bytes);
-  if (!Datagram || HasLeft)
+  if (!Datagram)
+    return;
+  // A node that leaves or learns still sends requests.
+  for (const quarantine_change &Change : takeReports(
+           Node.Steering.Quarantine, Datagram->Crashes, Node.Loop.now()))
+    logQuarantine(Node, Change);
+  if (HasLeft)
     return;
   if (!Node.isReady()) {
     // Silence keeps it out of the others' look-ups until it can serve.
@@ -101,9 +115,36 @@
   if (HasLeft || !Node.isReady())
     return;
   sendAll(membershipTick(Node.Fleet.Membership, Node.Loop.now()));
+  sendCrashNews();
   reportChanges();
 }
 
+/// By the probes alone, two a second, instances of a large fleet would learn of
+/// a crash too late.
+void peer_link::sendCrashNews() {
+  const instant Now = Node.Loop.now();
+  for (crash_report &Suspicion :
+       reportSuspicions(Node.Steering.Quarantine, Now))
+    for (const fleet_member *Home :
+         homesOf(Node.Fleet, Suspicion.Content, CountingInstances))
+      sendCrashes({Suspicion}, *Home);
+  for (int Receiver = 0; Receiver < NewsReceivers; ++Receiver) {
+    auto News = reportNews(Node.Steering.Quarantine, Now);
+    const fleet_member *Member =
+        News.empty() ? nullptr : pickUpMember(Node.Fleet);
+    if (!Member)
+      return;
+    sendCrashes(std::move(News), *Member);
+  }
+}
+
+void peer_link::sendCrashes(std::vector<crash_report> Crashes,
+                            const fleet_member &Member) {
+  // A probe of nobody wants no answer.
+  if (auto To = parseEndpoint(Member.Peer))
+    send({}, std::move(Crashes), *To);
+}
+
 void peer_link::reportChanges() {
   const std::set<std::string> &Down = downMembers(Node.Fleet.Membership);
   if (Down == ReportedDown)
--- a/Services/Node/peer_link.h
+++ b/Services/Node/peer_link.h
@@ -30,6 +30,11 @@
   void take(std::string_view Bytes, const endpoint &Source);
   void tick();
   void send(const membership_message &Message, const endpoint &To);
+  void send(const membership_message &Message,
+            std::vector<crash_report> Crashes, const endpoint &To);
+  void sendCrashNews();
+  void sendCrashes(std::vector<crash_report> Crashes,
+                   const fleet_member &Member);
   void sendAll(std::span<const outgoing_membership_message> Messages);
   void reportChanges();
 
--- a/Services/Node/status.cpp
+++ b/Services/Node/status.cpp
@@ -48,6 +48,7 @@
       {"list_sure", View.ListIsSure},
       {"servers", Directory.ById.size()},
       {"servers_usable", Usable},
+      {"quarantined", countQuarantined(Node.Steering.Quarantine)},
       {"services", States},
       {"evacuated", std::vector<std::string>(Directory.EvacuatedDomains.begin(),
                                              Directory.EvacuatedDomains.end())},
--- a/Tests/request_trace_test.cpp
+++ b/Tests/request_trace_test.cpp
@@ -44,6 +44,14 @@
   LONGS_EQUAL(900'000, Trace.Nodes[0].ConfigurationAgeUs);
 }
 
+TEST(RequestTrace, ARefusalForAQuarantineNamesTheContent) {
+  const auto Trace = traceOf(
+      "r1",
+      {Started,
+       R"({"time_ms":2500,"steady_us":1500000,"instance":"n1","event":"refused","request":"r1","content":"00000000000000c7","why":"quarantined"})"});
+  CHECK(says(Trace, "servers crashed under its content, 00000000000000c7"));
+}
+
 TEST(RequestTrace, LinesOfOtherRequestsAndForeignTextAreLeftOut) {
   trace_reader Reader("r1");
   Reader.take("  12.3 n1 noise");
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -180,8 +180,8 @@
   const request_plan Plan = plan(Steering);
   std::set<std::int64_t> Times;
   for (int Caller = 0; Caller < 200; ++Caller) {
-    const duration Time =
-        retryAfter(Plan, "id-" + std::to_string(Caller), instant());
+    const duration Time = retryAfter(Steering, Plan, refusal::NoRoom,
+                                     "id-" + std::to_string(Caller), instant());
     CHECK(Time >= milliseconds(250));
     CHECK(Time <= milliseconds(667));
     Times.insert(Time.count() / 20'000);
@@ -270,3 +270,38 @@
   }
   CHECK(chooseTarget(Steering, Plan, instant()).error() == refusal::NoRoom);
 }
+
+// Failure: a request whose content is known to crash servers is sent on, by its
+// first attempt or by the repeat of one that was under way.
+TEST(Steering, AQuarantinedContentGoesToNoServer) {
+  steering Steering = makeSteering(6, work_class::Idempotent);
+  request_plan Plan = plan(Steering);
+  Plan.Content = 1;
+  request_plan Harmless = plan(Steering);
+  Harmless.Content = 2;
+  CHECK(chooseTarget(Steering, Plan, instant()).has_value());
+  for (std::uint64_t Server = 1; Server <= 3; ++Server)
+    noteCrash(Steering.Quarantine, Plan.Content, Server, instant());
+  const auto Chosen = chooseTarget(Steering, Plan, instant());
+  CHECK(!Chosen && Chosen.error() == refusal::Quarantined);
+  CHECK(chooseTarget(Steering, Harmless, instant()).has_value());
+  CHECK(retryAfter(Steering, Plan, refusal::Quarantined, "id-1", instant()) >=
+        Steering.Quarantine.Policy.FirstTrial);
+}
+
+// Failure: a trial of a quarantined content is followed by more requests for it
+// before its outcome is known.
+TEST(Steering, ATrialLetsOneRequestThrough) {
+  steering Steering = makeSteering(6, work_class::Idempotent);
+  Steering.Instances = {1};
+  const instant TrialAt = instant(Steering.Quarantine.Policy.FirstTrial);
+  const request_facts Facts{"shop.example", "/x/y",  "17", "id-1",
+                            seconds(3),     TrialAt, 1};
+  request_plan Plan = planRequest(Steering, Facts).value();
+  for (std::uint64_t Server = 1; Server <= 3; ++Server)
+    noteCrash(Steering.Quarantine, Plan.Content, Server, instant());
+  const auto Chosen = chooseTarget(Steering, Plan, TrialAt);
+  CHECK(Chosen.has_value());
+  beginAttempt(Steering, Plan, **Chosen, TrialAt);
+  CHECK_FALSE(chooseTarget(Steering, Plan, TrialAt).has_value());
+}
