Node: lines when a server asks for rest or says that it leaves

A server that turns a request away may say for how long it wants none, and one that leaves says so in its answers. Neither could be seen in the lines. Both are read and told now; no decision depends on them yet. The time is bounded by 5 min, since what a server says may be wrong.

--- a/Libraries/HttpMessage/http_message.cpp
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstring>
 
 namespace amaranthhoist {
@@ -260,6 +261,15 @@
   return false;
 }
 
+std::optional<double> retryAfterSeconds(const message_head &Head) {
+  const auto Field = Head.find("retry-after");
+  const auto Seconds = Field ? parseNumber<double>(*Field) : std::nullopt;
+  // The number may be written as one that is none.
+  if (!Seconds || !std::isfinite(*Seconds) || *Seconds < 0)
+    return std::nullopt;
+  return Seconds;
+}
+
 std::string_view reasonOf(int Status) {
   return http_status_str(static_cast<http_status>(Status));
 }
--- a/Libraries/HttpMessage/http_message.h
+++ b/Libraries/HttpMessage/http_message.h
@@ -129,6 +129,10 @@
 /// Whether the head's Connection field lists \p Name.
 bool isNamedByConnection(const message_head &Head, std::string_view Name);
 
+/// Seconds that the head's Retry-After field tells, with fractions. None
+/// without such a field, or where it holds anything else, a date included.
+std::optional<double> retryAfterSeconds(const message_head &Head);
+
 /// The customary phrase of a status.
 std::string_view reasonOf(int Status);
 /// Adds `Name: Value` and the end of the line.
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -11,6 +11,9 @@
 /// Servers that may be found unreachable before a request is refused: each
 /// costs the caller up to ConnectTime.
 static constexpr int MostUnreachable = 3;
+/// A server that asks for more is asked again after this long: what it says may
+/// be wrong, and nobody else brings it back.
+static constexpr duration LongestRest = std::chrono::minutes(5);
 /// A request that meets a node which is still learning is tried again this
 /// often: short against the objectives, and few wake-ups in the time that the
 /// lists take.
@@ -156,6 +159,32 @@
   }
 }
 
+/// How long a server that turned a request away wants none from this node.
+static std::optional<duration> restOf(const message_head &Head) {
+  const auto Seconds =
+      Head.status() == 503 ? retryAfterSeconds(Head) : std::nullopt;
+  if (!Seconds)
+    return std::nullopt;
+  constexpr double Most = LongestRest.count() / 1e6;
+  return duration(static_cast<std::int64_t>(std::min(*Seconds, Most) * 1e6));
+}
+
+void exchange::takeServerState(const message_head &Head) {
+  // Another server's answer: it says nothing of the one that was meant.
+  if (Head.status() == 421)
+    return;
+  const instant Now = Node.Loop.now();
+  if (Head.find(Node.Wire.Leaving) == "1")
+    Node.Log.write(log_kind::Belief, "server_says_it_leaves",
+                   {{"server", Target->Entry.Id}}, Now);
+  if (const auto Rest = restOf(Head))
+    Node.Log.write(log_kind::Belief, "server_rests",
+                   {{"server", Target->Entry.Id},
+                    {"for_us", static_cast<std::int64_t>(Rest->count())},
+                    {"repeat", Attempts.size() > 1}},
+                   Now);
+}
+
 bool exchange::onHead(const message_head &Head) {
   const auto Id = Head.find(Node.Wire.RequestId);
   // A late answer to an earlier request on this connection.
@@ -166,6 +195,7 @@
   if (const auto Load = Head.find(Node.Wire.Load))
     if (const auto Decoded = Node.Wire.DecodeLoad(*Load))
       noteServerLoad(Node.Steering, *Target, *Decoded, Node.Loop.now());
+  takeServerState(Head);
   ServerDidNotRun =
       Head.find(Node.Wire.NotRun).has_value() || Head.status() == 421;
   const bool ClaimsSuccess = Head.status() / 100 == 2;
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -99,6 +99,8 @@
   void repeatOrEnd();
 
   void takeAnswerHead(const message_head &Head);
+  /// What the server says of itself, beside the answer.
+  void takeServerState(const message_head &Head);
   void beginStreaming();
   void deliver();
   void refuse(refusal Reason);
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -34,6 +34,8 @@
   std::string_view Load;
   /// The backend server did not run the request.
   std::string_view NotRun;
+  /// The backend server leaves; in all of its answers then.
+  std::string_view Leaving;
   std::optional<target_load> (*DecodeLoad)(std::string_view);
 };
 
