Tests: servers that rest or leave get requests all the same

Failure: a server that asked for rest, or said that it leaves, gets requests before the end of the rest, or after its word; also when its entry lapses and comes back in between, and callers are told to come back while all rest.

--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -22,9 +22,13 @@
     Connection.answer(421, cat("X-Attempt-Id: ", RequestId, "\r\n"), "");
     return;
   }
+  ++Arrivals;
   if (Behavior == behavior::Sheds) {
-    Connection.answer(
-        503, cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n"), "");
+    std::string Fields =
+        cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n");
+    if (!RestSeconds.empty())
+      append(Fields, "Retry-After: ", RestSeconds, "\r\n");
+    Connection.answer(503, Fields, "");
     return;
   }
   ++Runs[RequestId];
@@ -60,7 +64,8 @@
   const std::string Body = bodyFor(RequestId);
   const std::string Id = cat("X-Attempt-Id: ", RequestId, "\r\n");
   const std::string Fields = cat(Id, "X-Response-Stamp: stamp-", RequestId,
-                                 "\r\nX-Server-Load: ", Load, "\r\n");
+                                 "\r\nX-Server-Load: ", Load, "\r\n",
+                                 SaysItLeaves ? "Server-Leaving: 1\r\n" : "");
   switch (Behavior) {
   case behavior::Sound:
   case behavior::Sheds:
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -38,6 +38,13 @@
   /// What its answers say of its load: running, waiting, slots.
   std::string Load = "1,0,4";
   const std::string Id;
+  /// Asks for this many seconds of rest with each request that it sheds; empty:
+  /// it doesn't.
+  std::string RestSeconds;
+  /// Says in all its answers that it leaves.
+  bool SaysItLeaves = false;
+  /// Requests that came, run or not.
+  int Arrivals = 0;
   /// Requests for this path end the server's process while it runs them; empty:
   /// none.
   std::string DeadlyPath;
