Targets: a server that asks for rest is left alone until then

What callers saw: 503 after two servers in a row that had turned their node away a moment before and had said for how long.

Cause: Retry-After of a server's answer wasn't read; a 503 counted as one failure among others, and a server was left out when a third of its recent answers were failures.

The time is kept with the server, and isUsable(), which every way to a server asks, says no until it is over. While all rest, callers are refused at once with a time to come back after the first rest's end, spread. It outlives a lapse of the server's entry.

--- a/Libraries/Placement/placement.cpp
+++ b/Libraries/Placement/placement.cpp
@@ -15,8 +15,8 @@
   return Value ^ (Value >> 31);
 }
 
-static bool isHome(std::span<const std::string> HomeRegions,
-                   const std::string &Region) {
+bool isHome(std::span<const std::string> HomeRegions,
+            const std::string &Region) {
   return HomeRegions.empty() ||
          std::find(HomeRegions.begin(), HomeRegions.end(), Region) !=
              HomeRegions.end();
--- a/Libraries/Placement/placement.h
+++ b/Libraries/Placement/placement.h
@@ -44,6 +44,11 @@
   std::span<const double> OverflowWeights;
 };
 
+/// Whether work with these home regions may go to \p Region; with none it may
+/// go anywhere.
+bool isHome(std::span<const std::string> HomeRegions,
+            const std::string &Region);
+
 /// Ranks the usable servers among \p Targets for both places.
 place_rankings rankTargets(const target_directory &Directory,
                            std::span<target *const> Targets,
--- a/Libraries/RequestTrace/causes.cpp
+++ b/Libraries/RequestTrace/causes.cpp
@@ -41,6 +41,8 @@
     return "refused: the node had no configuration yet";
   if (Why == "no_repeats")
     return "refused: it was not run, and the budget of repeats was used up";
+  if (Why == "resting")
+    return "refused: the servers of its service had asked for rest";
   if (Why == "quarantined")
     return cat("refused: servers crashed under its content, ",
                Line.text("content"));
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -67,6 +67,8 @@
     return "no_route";
   case refusal::NoTarget:
     return "no_target";
+  case refusal::Resting:
+    return "resting";
   case refusal::NoRoom:
     return "no_room";
   case refusal::TooLate:
@@ -284,6 +286,24 @@
   return SecondHasRoom ? &Second : nullptr;
 }
 
+/// When the first of the servers that asked for rest may get the request; none:
+/// no server rests that could be used otherwise.
+static std::optional<instant>
+firstRestEnd(const steering &Steering, const request_plan &Plan, instant Now) {
+  auto Found = Steering.Targets.ByService.find(Plan.Service);
+  if (Found == Steering.Targets.ByService.end())
+    return std::nullopt;
+  std::optional<instant> First;
+  for (const target *Target : Found->second) {
+    const instant End = Target->RestUntil;
+    const bool Waits = Now < End && isUsable(Steering.Targets, *Target, End) &&
+                       isHome(Plan.HomeRegions, Target->Region);
+    if (Waits && (!First || End < *First))
+      First = End;
+  }
+  return First;
+}
+
 /// Whether this instance is the one that tries a quarantined content.
 static bool makesTrials(const steering &Steering, std::uint64_t Content) {
   return !Steering.Instances.empty() &&
@@ -302,7 +322,9 @@
     return tl::unexpected(refusal::TooLate);
   const weighed_places Weighed = weighPlaces(Steering, Plan, Now);
   if (!Weighed.HasServers)
-    return tl::unexpected(refusal::NoTarget);
+    return tl::unexpected(firstRestEnd(Steering, Plan, Now)
+                              ? refusal::Resting
+                              : refusal::NoTarget);
   const weighed_place *Place = preferredPlace(Weighed, Plan.Objective);
   if (!Place)
     return tl::unexpected(refusal::NoRoom);
@@ -370,6 +392,9 @@
   case refusal::Quarantined:
     return std::max(untilTrial(Steering.Quarantine, Plan.Content, Now),
                     Steering.Quarantine.Policy.FirstTrial);
+  case refusal::Resting:
+    return firstRestEnd(Steering, Plan, Now).value_or(Now) - Now +
+           spreadReturn(Plan, RequestId, Now);
   default:
     return spreadReturn(Plan, RequestId, Now);
   }
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -85,6 +85,8 @@
   NoRoute,
   /// No server of its service may be used.
   NoTarget,
+  /// Those that could be used asked for rest.
+  Resting,
   /// Its servers have no room.
   NoRoom,
   /// Too little time is left to run it.
@@ -198,7 +200,7 @@
 /// When a caller who was refused for \p Reason should come back. Mostly spread,
 /// so that those refused together don't return together, and soon enough that
 /// there is time left to serve them; for a quarantined content, when it is
-/// tried again.
+/// tried again; while all servers rest, spread after the first of them is back.
 duration retryAfter(const steering &Steering, const request_plan &Plan,
                     refusal Reason, std::string_view RequestId, instant Now);
 
--- a/Libraries/Targets/targets.cpp
+++ b/Libraries/Targets/targets.cpp
@@ -22,6 +22,10 @@
 /// A report counts whole for this long and fades over the same time.
 static constexpr duration ReportFresh = std::chrono::milliseconds(700);
 
+/// Servers that went and whose own words are kept: more than go while a store's
+/// outage makes entries lapse.
+static constexpr std::size_t MostFormer = 512;
+
 static void addToService(target_directory &Directory, target *Target) {
   Directory.ByService[Target->Entry.Service].push_back(Target);
 }
@@ -32,10 +36,20 @@
     std::erase(Found->second, Target);
 }
 
+/// Keeps what a server said itself, for the case that its entry comes back.
+static void remember(target_directory &Directory, const target &Target) {
+  if (Target.RestUntil == instant())
+    return;
+  Directory.Former.push_back({Target.Entry, Target.RestUntil});
+  if (Directory.Former.size() > MostFormer)
+    Directory.Former.pop_front();
+}
+
 static void depart(target_directory &Directory, std::string_view Id) {
   auto Found = Directory.ById.find(Id);
   if (Found == Directory.ById.end())
     return;
+  remember(Directory, *Found->second);
   takeFromService(Directory, Found->second.get());
   Directory.Departed.push_back(std::move(Found->second));
   Directory.ById.erase(Found);
@@ -70,6 +84,19 @@
          Known.StartedAtMs == Entry.StartedAtMs;
 }
 
+/// Gives a server that comes back what it had said itself.
+static void recall(const target_directory &Directory, target &Target) {
+  const auto Found =
+      std::find_if(Directory.Former.rbegin(), Directory.Former.rend(),
+                   [&](const former_target &Former) {
+                     return Former.Entry.Id == Target.Entry.Id &&
+                            isSameStart(Former.Entry, Target.Entry);
+                   });
+  if (Found == Directory.Former.rend())
+    return;
+  Target.RestUntil = Found->RestUntil;
+}
+
 void putTarget(target_directory &Directory, const target_entry &Entry,
                instant Now) {
   auto Found = Directory.ById.find(Entry.Id);
@@ -84,6 +111,7 @@
     Target->Hash = stableHash(Entry.Id);
     Target->FirstSeen = Now;
     Target->Entry = Entry;
+    recall(Directory, *Target);
     addToService(Directory, Target.get());
     Found = Directory.ById.emplace(Entry.Id, std::move(Target)).first;
   }
@@ -157,6 +185,8 @@
     return false;
   if (Directory.EvacuatedDomains.contains(Target.Entry.FailureDomain))
     return false;
+  if (Now < Target.RestUntil)
+    return false;
   if (Target.EjectionTime > duration::zero())
     return Now >= Target.EjectedUntil && !Target.OnTrial;
   return true;
@@ -252,6 +282,11 @@
     eject(Target, Now);
     return;
   case attempt_result::Shed:
+    // It said itself when it wants requests again.
+    if (Now < Target.RestUntil)
+      return;
+    noteFailure(Directory, Target, WasTrial, Now);
+    return;
   case attempt_result::Failed:
   case attempt_result::TimedOut:
     noteFailure(Directory, Target, WasTrial, Now);
@@ -264,6 +299,26 @@
   }
 }
 
+/// The record that holds now for the server of \p Target: its entry may have
+/// lapsed and come back while a request was there. None: it is gone.
+static target *currentRecord(target_directory &Directory,
+                             const target &Target) {
+  auto Found = Directory.ById.find(Target.Entry.Id);
+  if (Found == Directory.ById.end() ||
+      !isSameStart(Found->second->Entry, Target.Entry))
+    return nullptr;
+  return Found->second.get();
+}
+
+void noteRest(target_directory &Directory, target &Target, instant Until) {
+  // An answer on its way may be older than the last one.
+  Target.RestUntil = std::max(Target.RestUntil, Until);
+  if (amaranthhoist::target *Current = currentRecord(Directory, Target))
+    Current->RestUntil = Target.RestUntil;
+  else
+    remember(Directory, Target);
+}
+
 void noteLeaving(target &Target) { Target.Entry.IsLeaving = true; }
 
 } // namespace amaranthhoist
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -7,6 +7,7 @@
 #include "Text/text.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <span>
@@ -85,6 +86,8 @@
   instant EjectedUntil{};
   duration EjectionTime{};
   bool OnTrial = false;
+  /// Gets no request before: it asked this instance for rest.
+  instant RestUntil{};
 
   instant ColdUntil{};
   /// Earliest time of the next request while it is cold.
@@ -96,6 +99,13 @@
   instant FirstSeen{};
 };
 
+/// What a server had said itself when its entry went. The entry may have lapsed
+/// while the server lives, and come back.
+struct former_target {
+  target_entry Entry;
+  instant RestUntil{};
+};
+
 /// All backend servers.
 struct target_directory {
   /// Failure domains by name, with their regions.
@@ -108,6 +118,8 @@
   text_set EvacuatedDomains;
   /// Removed from the list, kept until their last request has ended.
   std::vector<std::unique_ptr<target>> Departed;
+  /// The latest that went, oldest first.
+  std::deque<former_target> Former;
   std::uint64_t NextSerial = 1;
 };
 
@@ -161,6 +173,10 @@
 void noteResult(target_directory &Directory, target &Target,
                 attempt_result Result, duration Took, instant Now);
 
+/// Leaves a server alone that asked for it. \p Target may have departed since
+/// the request was sent.
+void noteRest(target_directory &Directory, target &Target, instant Until);
+
 /// Leaves out a server that says it leaves, before the list does.
 void noteLeaving(target &Target);
 
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -177,12 +177,14 @@
   if (Head.find(Node.Wire.Leaving) == "1")
     Node.Log.write(log_kind::Belief, "server_says_it_leaves",
                    {{"server", Target->Entry.Id}}, Now);
-  if (const auto Rest = restOf(Head))
+  if (const auto Rest = restOf(Head)) {
+    noteRest(Node.Steering.Targets, *Target, Now + *Rest);
     Node.Log.write(log_kind::Belief, "server_rests",
                    {{"server", Target->Entry.Id},
                     {"for_us", static_cast<std::int64_t>(Rest->count())},
                     {"repeat", Attempts.size() > 1}},
                    Now);
+  }
 }
 
 bool exchange::onHead(const message_head &Head) {
--- a/Services/Node/status.cpp
+++ b/Services/Node/status.cpp
@@ -17,6 +17,8 @@
     return "leaving";
   if (Directory.EvacuatedDomains.contains(Target.Entry.FailureDomain))
     return "evacuated";
+  if (Now < Target.RestUntil)
+    return "resting";
   if (Target.EjectionTime > duration::zero())
     return "ejected";
   if (Target.IsMissing)
--- a/Tests/http_message_test.cpp
+++ b/Tests/http_message_test.cpp
@@ -127,3 +127,18 @@
     CHECK(Reader.body().size() <= Text.size());
   }
 }
+
+// Failure: a time to come back that is no number of seconds counts as one.
+TEST(HttpMessage, ATimeToComeBackIsANumberOfSecondsOrNone) {
+  const auto Read = [](const std::string &Value) {
+    message_reader Reader(message_kind::Response, HeadLimit);
+    Reader.feed("HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + Value +
+                "\r\nContent-Length: 0\r\n\r\n");
+    return retryAfterSeconds(Reader.head());
+  };
+  DOUBLES_EQUAL(3, Read("3").value(), 0);
+  DOUBLES_EQUAL(0.25, Read("0.25").value(), 0);
+  for (const char *Text : {"-1", "nan", "inf", "", "3 s", "1e999",
+                           "Thu, 03 Dec 2026 10:00:00 GMT"})
+    CHECK_FALSE(Read(Text).has_value());
+}
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -305,3 +305,37 @@
   beginAttempt(Steering, Plan, **Chosen, TrialAt);
   CHECK_FALSE(chooseTarget(Steering, Plan, TrialAt).has_value());
 }
+
+// Failure: all servers of a service asked for rest, and those who are refused
+// come back before its end, or all at once at its end.
+TEST(Steering, WhileAllServersRestCallersComeBackAfterwards) {
+  steering Steering = makeSteering(3, work_class::Idempotent);
+  const request_plan Plan = plan(Steering);
+  const instant RestEnd{milliseconds(800)};
+  for (const auto &[Id, Target] : Steering.Targets.ById)
+    noteRest(Steering.Targets, *Target,
+             Id == "s1" ? RestEnd : RestEnd + seconds(60));
+  const auto Chosen = chooseTarget(Steering, Plan, instant());
+  CHECK(!Chosen && Chosen.error() == refusal::Resting);
+  std::set<std::int64_t> Times;
+  for (int Caller = 0; Caller < 200; ++Caller) {
+    const duration Time = retryAfter(Steering, Plan, refusal::Resting,
+                                     "id-" + std::to_string(Caller), instant());
+    CHECK(instant(Time) > RestEnd);
+    CHECK(instant(Time) < RestEnd + seconds(1));
+    Times.insert(Time.count() / 20'000);
+  }
+  CHECK(Times.size() > 15);
+  CHECK(chooseTarget(Steering, Plan, RestEnd).has_value());
+}
+
+TEST(Steering, WorkOfAServerThatRestsGoesToTheOthers) {
+  steering Steering = makeSteering(4, work_class::Idempotent);
+  const request_plan Plan = plan(Steering);
+  target *First = chooseTarget(Steering, Plan, instant()).value();
+  noteRest(Steering.Targets, *First, instant(seconds(1)));
+  const auto Other = chooseTarget(Steering, Plan, instant());
+  CHECK(Other.has_value() && *Other != First);
+  POINTERS_EQUAL(First,
+                 chooseTarget(Steering, Plan, instant(seconds(1))).value());
+}
--- a/Tests/targets_test.cpp
+++ b/Tests/targets_test.cpp
@@ -216,3 +216,63 @@
   LONGS_EQUAL(Serial, get(Directory, "s0").Serial);
   CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
 }
+
+// Failure: a server that asked for rest is used before its end, since a trial
+// is due or an older answer asked for less.
+TEST(Targets, AServerRestsUntilTheLastTimeItAskedFor) {
+  target_directory Directory = makeDirectory(1);
+  target &Target = get(Directory, "s0");
+  attempt(Directory, Target, attempt_result::Unreachable, instant());
+  noteRest(Directory, Target, instant(seconds(3)));
+  noteRest(Directory, Target, instant(seconds(1)));
+  CHECK_FALSE(isUsable(Directory, Target, instant(milliseconds(2'999))));
+  CHECK(isUsable(Directory, Target, instant(seconds(3))));
+}
+
+// Failure: a server that asks for rest is left out for longer, as one that
+// fails.
+TEST(Targets, AskingForRestIsNoFailure) {
+  target_directory Directory = makeDirectory(4);
+  target &Target = get(Directory, "s0");
+  for (int Second = 0; Second < 20; ++Second) {
+    const instant Now{seconds(Second)};
+    noteSent(Target, Now);
+    noteRest(Directory, Target, Now + milliseconds(500));
+    noteResult(Directory, Target, attempt_result::Shed, milliseconds(1), Now);
+  }
+  CHECK(isUsable(Directory, Target, instant(seconds(20))));
+}
+
+// Failure: a server's rest is forgotten when its entry lapses and comes back;
+// or its next start inherits it.
+TEST(Targets, ARestHoldsForOneStartOfAServerWhateverTheListSays) {
+  for (bool IsSaidLate : {false, true}) {
+    target_directory Directory = makeDirectory(1);
+    target &Target = get(Directory, "s0");
+    // A request is there, so that the record outlives its entry.
+    noteSent(Target, instant());
+    if (!IsSaidLate)
+      noteRest(Directory, Target, instant(seconds(3)));
+    removeTarget(Directory, "s0", /*ListIsSure=*/true);
+    if (IsSaidLate)
+      noteRest(Directory, Target, instant(seconds(3)));
+    putTarget(Directory, makeEntry("s0"), instant(seconds(1)));
+    CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
+    target_entry Again = makeEntry("s0");
+    Again.StartedAtMs = 7;
+    putTarget(Directory, Again, instant(seconds(1)));
+    CHECK(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
+  }
+}
+
+// Failure: an answer of a request that was sent before its server's entry
+// lapsed and came back says something that is lost with the old record.
+TEST(Targets, ARestSaidToAnOldRecordHoldsForTheNewOne) {
+  target_directory Directory = makeDirectory(1);
+  target &Old = get(Directory, "s0");
+  noteSent(Old, instant());
+  removeTarget(Directory, "s0", /*ListIsSure=*/true);
+  putTarget(Directory, makeEntry("s0"), instant());
+  noteRest(Directory, Old, instant(seconds(3)));
+  CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
+}
