Targets: a server that says it leaves gets nothing more

What callers would see: requests cut off at a server that had said it leaves before the list did.

Cause: the word stands in the server's answers and wasn't read; noteLeaving(), made for it, was called by tests only. The same cause elsewhere: a server at whose address another one answered (421) was out only until its entry lapsed and came back.

The answer's head is read before anything is decided by it, and what a server says of itself is kept with its start: through a lapse of its entry (the last 512 that went), and when the answer belongs to a record that was replaced meanwhile.

--- a/Libraries/Targets/targets.cpp
+++ b/Libraries/Targets/targets.cpp
@@ -38,7 +38,7 @@
 
 /// Keeps what a server said itself, for the case that its entry comes back.
 static void remember(target_directory &Directory, const target &Target) {
-  if (Target.RestUntil == instant())
+  if (Target.RestUntil == instant() && !Target.Entry.IsLeaving)
     return;
   Directory.Former.push_back({Target.Entry, Target.RestUntil});
   if (Directory.Former.size() > MostFormer)
@@ -95,6 +95,7 @@
   if (Found == Directory.Former.rend())
     return;
   Target.RestUntil = Found->RestUntil;
+  Target.Entry.IsLeaving = Found->Entry.IsLeaving;
 }
 
 void putTarget(target_directory &Directory, const target_entry &Entry,
@@ -265,6 +266,40 @@
     eject(Target, Now);
 }
 
+/// The record that holds now for the server of \p Target: its entry may have
+/// lapsed and come back while a request was there. None: it is gone.
+static target *currentRecord(target_directory &Directory,
+                             const target &Target) {
+  auto Found = Directory.ById.find(Target.Entry.Id);
+  if (Found == Directory.ById.end() ||
+      !isSameStart(Found->second->Entry, Target.Entry))
+    return nullptr;
+  return Found->second.get();
+}
+
+/// What a server said is kept where the next request looks.
+static void shareWithCurrent(target_directory &Directory,
+                             const target &Target) {
+  target *Current = currentRecord(Directory, Target);
+  if (!Current) {
+    remember(Directory, Target);
+    return;
+  }
+  Current->RestUntil = std::max(Current->RestUntil, Target.RestUntil);
+  Current->Entry.IsLeaving = Current->Entry.IsLeaving || Target.Entry.IsLeaving;
+}
+
+void noteRest(target_directory &Directory, target &Target, instant Until) {
+  // An answer on its way may be older than the last one.
+  Target.RestUntil = std::max(Target.RestUntil, Until);
+  shareWithCurrent(Directory, Target);
+}
+
+void noteLeaving(target_directory &Directory, target &Target) {
+  Target.Entry.IsLeaving = true;
+  shareWithCurrent(Directory, Target);
+}
+
 void noteResult(target_directory &Directory, target &Target,
                 attempt_result Result, duration Took, instant Now) {
   --Target.InFlight;
@@ -292,33 +327,11 @@
     noteFailure(Directory, Target, WasTrial, Now);
     return;
   case attempt_result::Replaced:
-    Target.Entry.IsLeaving = true;
+    noteLeaving(Directory, Target);
     return;
   case attempt_result::Cancelled:
     return;
   }
 }
 
-/// The record that holds now for the server of \p Target: its entry may have
-/// lapsed and come back while a request was there. None: it is gone.
-static target *currentRecord(target_directory &Directory,
-                             const target &Target) {
-  auto Found = Directory.ById.find(Target.Entry.Id);
-  if (Found == Directory.ById.end() ||
-      !isSameStart(Found->second->Entry, Target.Entry))
-    return nullptr;
-  return Found->second.get();
-}
-
-void noteRest(target_directory &Directory, target &Target, instant Until) {
-  // An answer on its way may be older than the last one.
-  Target.RestUntil = std::max(Target.RestUntil, Until);
-  if (amaranthhoist::target *Current = currentRecord(Directory, Target))
-    Current->RestUntil = Target.RestUntil;
-  else
-    remember(Directory, Target);
-}
-
-void noteLeaving(target &Target) { Target.Entry.IsLeaving = true; }
-
 } // namespace amaranthhoist
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -177,7 +177,8 @@
 /// the request was sent.
 void noteRest(target_directory &Directory, target &Target, instant Until);
 
-/// Leaves out a server that says it leaves, before the list does.
-void noteLeaving(target &Target);
+/// Leaves out a server that says it leaves, before the list does. \p Target may
+/// have departed since the request was sent.
+void noteLeaving(target_directory &Directory, target &Target);
 
 } // namespace amaranthhoist
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -174,9 +174,11 @@
   if (Head.status() == 421)
     return;
   const instant Now = Node.Loop.now();
-  if (Head.find(Node.Wire.Leaving) == "1")
+  if (Head.find(Node.Wire.Leaving) == "1" && !Target->Entry.IsLeaving) {
+    noteLeaving(Node.Steering.Targets, *Target);
     Node.Log.write(log_kind::Belief, "server_says_it_leaves",
                    {{"server", Target->Entry.Id}}, Now);
+  }
   if (const auto Rest = restOf(Head)) {
     noteRest(Node.Steering.Targets, *Target, Now + *Rest);
     Node.Log.write(log_kind::Belief, "server_rests",
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -28,6 +28,8 @@
         cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n");
     if (!RestSeconds.empty())
       append(Fields, "Retry-After: ", RestSeconds, "\r\n");
+    if (SaysItLeaves)
+      append(Fields, "Server-Leaving: 1\r\n");
     Connection.answer(503, Fields, "");
     return;
   }
--- a/Tests/targets_test.cpp
+++ b/Tests/targets_test.cpp
@@ -182,7 +182,7 @@
   target &Before = get(Directory, "s0");
   const std::uint64_t SerialBefore = Before.Serial;
   noteLoad(Before, {4, 9, 4}, instant());
-  noteLeaving(Before);
+  noteLeaving(Directory, Before);
   noteSent(Before, instant());
   target_entry Entry = makeEntry("s0");
   Entry.StartedAtMs = 1'700'000'000'000;
@@ -211,7 +211,7 @@
   Entry.StartedAtMs = 7;
   putTarget(Directory, Entry, instant());
   const std::uint64_t Serial = get(Directory, "s0").Serial;
-  noteLeaving(get(Directory, "s0"));
+  noteLeaving(Directory, get(Directory, "s0"));
   putTarget(Directory, Entry, instant(seconds(1)));
   LONGS_EQUAL(Serial, get(Directory, "s0").Serial);
   CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
@@ -276,3 +276,50 @@
   noteRest(Directory, Old, instant(seconds(3)));
   CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant(seconds(1))));
 }
+
+// Failure: a server that said it leaves, or whose address another one has, is
+// used again when its entry lapses and comes back as ready.
+TEST(Targets, ALeavingServerStaysSoWhateverTheListSays) {
+  for (bool IsReplaced : {false, true}) {
+    target_directory Directory = makeDirectory(1);
+    target &Old = get(Directory, "s0");
+    noteSent(Old, instant());
+    if (!IsReplaced)
+      noteLeaving(Directory, Old);
+    removeTarget(Directory, "s0", /*ListIsSure=*/true);
+    putTarget(Directory, makeEntry("s0"), instant());
+    if (IsReplaced)
+      noteResult(Directory, Old, attempt_result::Replaced, {}, instant());
+    CHECK_FALSE(isUsable(Directory, get(Directory, "s0"), instant()));
+  }
+}
+
+// Failure: an old record without a rest ends the one that the new record has.
+TEST(Targets, AnOldRecordTakesNothingBack) {
+  target_directory Directory = makeDirectory(1);
+  target &Old = get(Directory, "s0");
+  noteSent(Old, instant());
+  removeTarget(Directory, "s0", /*ListIsSure=*/true);
+  putTarget(Directory, makeEntry("s0"), instant());
+  target &Current = get(Directory, "s0");
+  noteRest(Directory, Current, instant(seconds(9)));
+  noteRest(Directory, Old, instant(seconds(3)));
+  CHECK_FALSE(isUsable(Directory, Current, instant(seconds(8))));
+  noteLeaving(Directory, Current);
+  noteRest(Directory, Old, instant(seconds(3)));
+  CHECK_FALSE(isUsable(Directory, Current, instant(seconds(60))));
+}
+
+// Failure: what is kept of servers that went grows without end.
+TEST(Targets, WhatIsKeptOfFormerServersIsBounded) {
+  target_directory Directory = makeDirectory(0);
+  for (int Index = 0; Index < 2'000; ++Index) {
+    const std::string Id = "s" + std::to_string(Index);
+    putTarget(Directory, makeEntry(Id), instant());
+    noteLeaving(Directory, get(Directory, Id));
+    removeTarget(Directory, Id, /*ListIsSure=*/true);
+  }
+  CHECK_COMPARE(Directory.Former.size(), <=, std::size_t{512});
+  putTarget(Directory, makeEntry("s1999"), instant());
+  CHECK_FALSE(isUsable(Directory, get(Directory, "s1999"), instant()));
+}
