Soak: a request that crashes the servers which run it

The soak knew no server that crashes under a request. Such a request now comes each 0.1 s at any node, from a drawn moment to the end of the run; servers that crash are back after 1 s. Drawn beside the known faults from a generator of its own, so that a seed keeps what it had.

--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -47,6 +47,8 @@
   HasCrashed = true;
   UnderWay.clear();
   goDown();
+  if (OnCrash)
+    OnCrash();
 }
 
 void target_stand_in::onConnectionEnd(stand_in_connection &Connection) {
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -50,6 +50,8 @@
   std::string DeadlyPath;
   /// Whether its process has ended so.
   bool HasCrashed = false;
+  /// Called when it has.
+  std::function<void()> OnCrash;
   /// How often each request was run, by its id.
   std::map<std::string, int> Runs;
   /// Requests whose connection ended while they were worked on.
--- /dev/null
+++ b/Tests/Soak/deadly_request.cpp
@@ -0,0 +1,63 @@
+#include "deadly_request.h"
+
+#include "Text/text.h"
+
+#include <algorithm>
+
+namespace amaranthhoist {
+
+/// Between two attempts.
+static constexpr duration Pause = std::chrono::milliseconds(100);
+/// In which nodes learn what the others know.
+static constexpr duration Touch = std::chrono::seconds(4);
+static constexpr std::size_t CrashesAllowed = 3;
+
+deadly_request::deadly_request(node_fleet &Fleet,
+                               std::function<node_process &()> ChooseNode)
+    : Fleet(Fleet), ChooseNode(std::move(ChooseNode)) {}
+
+deadly_request::~deadly_request() { end(); }
+
+void deadly_request::begin() {
+  if (Timer == 0)
+    send();
+}
+
+std::unique_ptr<caller_call> deadly_request::call(node_process &Node) {
+  // Each time for the same object: another one would be another request.
+  Fleet.ObjectKey = "deadly";
+  auto Call = Fleet.get(Node, Path, cat("d-", ++Sent));
+  Fleet.ObjectKey.clear();
+  return Call;
+}
+
+void deadly_request::send() {
+  std::erase_if(Calls, [](const auto &Call) { return Call->answer().IsOver; });
+  Calls.push_back(call(ChooseNode()));
+  Timer = Fleet.Loop.after(Pause, [this] { send(); });
+}
+
+void deadly_request::noteCrash() { Crashes.push_back(Fleet.Loop.now()); }
+
+std::size_t deadly_request::lateCrashes() const {
+  if (Crashes.size() < CrashesAllowed)
+    return 0;
+  const instant Known = Crashes[CrashesAllowed - 1] + Touch;
+  return static_cast<std::size_t>(std::count_if(
+      Crashes.begin(), Crashes.end(), [&](instant At) { return At > Known; }));
+}
+
+void deadly_request::askAll(std::vector<std::string> &Broken) {
+  if (Crashes.size() < CrashesAllowed)
+    return;
+  Fleet.runFor(Touch);
+  for (auto &Node : Fleet.Nodes) {
+    const auto Call = call(*Node);
+    Fleet.runUntil([&] { return Call->answer().IsOver; });
+    if (Call->answer().Status != 503)
+      Broken.push_back(
+          cat(Node->Name, " answers a deadly request ", Call->answer().Status));
+  }
+}
+
+} // namespace amaranthhoist
--- a/Tests/Soak/link_proxy.cpp
+++ b/Tests/Soak/link_proxy.cpp
@@ -119,16 +119,26 @@
 
 link_proxy::link_proxy(event_loop &Loop, std::string Server)
     : Loop(Loop), Server(std::move(Server)), Address(freeAddress()) {
+  Loop.atEndOfRound([this] { Retired.clear(); });
+  listen();
+}
+
+link_proxy::~link_proxy() { goDown(); }
+
+void link_proxy::listen() {
   auto Descriptor = listenAt(*parseEndpoint(Address));
   if (!Descriptor || !Loop.watch(*Descriptor, *this))
     std::abort();
   Listener = *Descriptor;
-  Loop.atEndOfRound([this] { Retired.clear(); });
 }
 
-link_proxy::~link_proxy() {
+void link_proxy::goDown() {
+  resetAll();
+  if (Listener < 0)
+    return;
   Loop.unwatch(Listener);
   close(Listener);
+  Listener = -1;
 }
 
 void link_proxy::setMode(link_mode NewMode) {
--- a/Tests/Soak/link_proxy.h
+++ b/Tests/Soak/link_proxy.h
@@ -36,6 +36,10 @@
   void setMode(link_mode NewMode);
   /// Resets all connections; new ones work.
   void resetAll();
+  /// Resets all connections and refuses new ones, as an address without a
+  /// server does; listen() undoes it.
+  void goDown();
+  void listen();
 
 private:
   friend class proxied_connection;
--- a/Tests/Soak/schedule.cpp
+++ b/Tests/Soak/schedule.cpp
@@ -34,7 +34,14 @@
     "server link reset",
     "drain",
     "configure",
-    "evacuate"};
+    "evacuate",
+    "deadly request"};
+
+/// Kinds that the first draw knows. The others are drawn from a generator of
+/// their own, so that a seed keeps the faults that it had.
+static constexpr std::size_t FirstKinds = 28;
+static constexpr std::uint64_t SecondStream = 0x5eed;
+static constexpr std::size_t MostOfOthers = 3;
 
 /// Shortest and longest time of a fault.
 static constexpr int ShortestMs = 100;
@@ -44,23 +51,31 @@
   return Names[static_cast<std::size_t>(Kind)];
 }
 
+static fault drawFault(std::mt19937_64 &Random, std::size_t FirstKind,
+                       std::size_t Kinds, duration Length) {
+  const auto Draw = [&Random](std::size_t Below) { return Random() % Below; };
+  const auto LengthMs = static_cast<std::size_t>(Length.count() / 1'000);
+  fault Fault;
+  Fault.Kind = static_cast<fault_kind>(FirstKind + Draw(Kinds));
+  Fault.At = std::chrono::milliseconds(Draw(LengthMs));
+  Fault.For =
+      std::chrono::milliseconds(ShortestMs + Draw(LongestMs - ShortestMs));
+  Fault.Subject = Draw(1'000);
+  return Fault;
+}
+
 std::vector<fault> makeSchedule(std::uint64_t Seed,
                                 const schedule_limits &Limits) {
   std::mt19937_64 Random(Seed);
-  const auto Draw = [&Random](std::size_t Below) { return Random() % Below; };
   const std::size_t Count =
-      Limits.Fewest + Draw(Limits.Most - Limits.Fewest + 1);
-  const auto LengthMs = static_cast<std::size_t>(Limits.Length.count() / 1'000);
+      Limits.Fewest + Random() % (Limits.Most - Limits.Fewest + 1);
   std::vector<fault> Faults;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    fault Fault;
-    Fault.Kind = static_cast<fault_kind>(Draw(FaultKinds));
-    Fault.At = std::chrono::milliseconds(Draw(LengthMs));
-    Fault.For =
-        std::chrono::milliseconds(ShortestMs + Draw(LongestMs - ShortestMs));
-    Fault.Subject = Draw(1'000);
-    Faults.push_back(Fault);
-  }
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Faults.push_back(drawFault(Random, 0, FirstKinds, Limits.Length));
+  std::mt19937_64 Second(Seed ^ SecondStream);
+  for (std::size_t Left = Second() % (MostOfOthers + 1); Left > 0; --Left)
+    Faults.push_back(
+        drawFault(Second, FirstKinds, FaultKinds - FirstKinds, Limits.Length));
   std::stable_sort(
       Faults.begin(), Faults.end(),
       [](const fault &Left, const fault &Right) { return Left.At < Right.At; });
--- a/Tests/Soak/schedule.h
+++ b/Tests/Soak/schedule.h
@@ -42,8 +42,10 @@
   Drain,
   Configure,
   Evacuate,
+  // A request that crashes the servers which run it.
+  DeadlyRequest,
 };
-inline constexpr std::size_t FaultKinds = 28;
+inline constexpr std::size_t FaultKinds = 29;
 
 std::string_view toString(fault_kind Kind);
 
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -15,6 +15,8 @@
 /// Time without faults at the end of each run before callers stop.
 static constexpr duration CalmTime = std::chrono::milliseconds(1'500);
 static constexpr duration SlowWork = std::chrono::milliseconds(600);
+/// Until the next start of a server that crashed.
+static constexpr duration DownTime = std::chrono::seconds(1);
 
 soak_run::soak_run(std::string Program, std::uint64_t Seed,
                    const soak_size &Size)
@@ -37,11 +39,11 @@
   for (std::size_t Index = 0; Index < Size.Callers; ++Index)
     Callers.push_back(
         std::make_unique<soak_caller>(Fleet.Loop, cat("c", Index), Random(),
-                                      [this] { return chooseNode(); }));
+                                      [this] { return chooseNode().Callers; }));
 }
 
-std::string soak_run::chooseNode() {
-  return Fleet.Nodes[Random() % Fleet.Nodes.size()]->Callers;
+node_process &soak_run::chooseNode() {
+  return *Fleet.Nodes[Random() % Fleet.Nodes.size()];
 }
 
 target_stand_in &soak_run::standIn(const server &Server) {
@@ -55,10 +57,23 @@
   auto &Target = Fleet.Targets[Server->Id];
   Target = std::make_unique<target_stand_in>(Fleet.Loop, Server->Id);
   Server->Link = std::make_unique<link_proxy>(Fleet.Loop, Target->address());
+  Target->DeadlyPath = deadly_request::Path;
+  Target->OnCrash = [this, &Crashed = *Server] { restartAfterCrash(Crashed); };
   Fleet.listTarget(*Target, Domain, "ready", Server->Link->address());
   Servers.push_back(std::move(Server));
 }
 
+void soak_run::restartAfterCrash(server &Server) {
+  Deadly.noteCrash();
+  Server.Link->goDown();
+  Fleet.Loop.after(DownTime, [this, &Server] {
+    standIn(Server).goDown();
+    standIn(Server).listen();
+    Server.Link->goDown();
+    Server.Link->listen();
+  });
+}
+
 void soak_run::restart(node_process &Node) {
   // It may have been started again by another fault meanwhile.
   if (Fleet.hasEnded(Node))
@@ -81,14 +96,17 @@
     beginAtServer(Fault);
   else if (Fault.Kind <= fault_kind::ServerLinkReset)
     beginAtServerLink(Fault);
-  else
+  else if (Fault.Kind <= fault_kind::Evacuate)
     beginChange(Fault);
+  else
+    Deadly.begin();
 }
 
 void soak_run::beginAtNode(const fault &Fault) {
   node_process &Node = *Fleet.Nodes[Fault.Subject % Fleet.Nodes.size()];
   if (Fleet.hasEnded(Node))
     return;
+  ProcessFaults += Fault.Kind == fault_kind::Reload ? 0 : 1;
   switch (Fault.Kind) {
   case fault_kind::Kill:
     Fleet.signal(Node, SIGKILL);
@@ -284,6 +302,17 @@
       Broken.push_back(cat(Id, " left and got new work"));
 }
 
+/// What servers crashed under was heeded. A node that starts again or wakes up
+/// has to be told once more.
+void soak_run::checkCrashes(std::vector<std::string> &Broken) {
+  if (Deadly.lateCrashes() > ProcessFaults)
+    Broken.push_back(cat("a deadly request crashed ", Deadly.lateCrashes(),
+                         " servers late, ", Deadly.crashes(), " in all"));
+  // Nodes that all start again have forgotten what they knew.
+  if (ProcessFaults < Fleet.Nodes.size())
+    Deadly.askAll(Broken);
+}
+
 soak_result soak_run::run(const schedule_limits &Limits, bool KeepLogs) {
   soak_result Result;
   for (auto &Node : Fleet.Nodes)
@@ -300,10 +329,12 @@
     Last = std::max(Last, Fault.At + Fault.For);
   Fleet.runFor(Last + CalmTime);
   heal();
+  Deadly.end();
   if (!settle())
     Result.Broken.emplace_back("the fleet doesn't settle after the faults");
   stopCallers();
   checkAfterwards(Result.Broken);
+  checkCrashes(Result.Broken);
 
   std::vector<attempt_seen> Attempts;
   for (const auto &Caller : Callers)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -2,6 +2,7 @@
 /// faults of a schedule, and the verdict.
 #pragma once
 
+#include "deadly_request.h"
 #include "link_proxy.h"
 #include "node_fleet.h"
 #include "schedule.h"
@@ -54,6 +55,7 @@
   void beginAtServer(const fault &Fault);
   void beginAtServerLink(const fault &Fault);
   void beginChange(const fault &Fault);
+  void restartAfterCrash(server &Server);
   void restart(node_process &Node);
   /// Whether it was told to end and hasn't ended yet.
   bool isEnding(node_process &Node);
@@ -63,13 +65,18 @@
   void stopCallers();
   void checkAfterwards(std::vector<std::string> &Broken);
   target_stand_in &standIn(const server &Server);
-  std::string chooseNode();
+  void checkCrashes(std::vector<std::string> &Broken);
+  node_process &chooseNode();
 
   std::mt19937_64 Random;
   node_fleet Fleet;
   std::vector<std::unique_ptr<link_proxy>> StoreLinks;
   std::vector<std::unique_ptr<server>> Servers;
   std::vector<std::unique_ptr<soak_caller>> Callers;
+  deadly_request Deadly{Fleet,
+                        [this]() -> node_process & { return chooseNode(); }};
+  /// Faults that a node's process has had.
+  std::size_t ProcessFaults = 0;
   /// Ids of servers that left.
   std::vector<std::string> Drained;
   /// Processes that were told to end, by node.
