Soak: servers that ask for rest or say that they leave

The soak knew no server that says something of itself. Drawn with the request that crashes servers, beside the known faults.

--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -26,8 +26,10 @@
   if (Behavior == behavior::Sheds) {
     std::string Fields =
         cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n");
-    if (!RestSeconds.empty())
+    if (!RestSeconds.empty()) {
       append(Fields, "Retry-After: ", RestSeconds, "\r\n");
+      ++RestsAskedFor;
+    }
     if (SaysItLeaves)
       append(Fields, "Server-Leaving: 1\r\n");
     Connection.answer(503, Fields, "");
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -45,6 +45,8 @@
   bool SaysItLeaves = false;
   /// Requests that came, run or not.
   int Arrivals = 0;
+  /// Those that were answered with a time of rest.
+  int RestsAskedFor = 0;
   /// Requests for this path end the server's process while it runs them; empty:
   /// none.
   std::string DeadlyPath;
--- a/Tests/Soak/schedule.cpp
+++ b/Tests/Soak/schedule.cpp
@@ -35,6 +35,8 @@
     "drain",
     "configure",
     "evacuate",
+    "server rests",
+    "server leaves",
     "deadly request"};
 
 /// Kinds that the first draw knows. The others are drawn from a generator of
--- a/Tests/Soak/schedule.h
+++ b/Tests/Soak/schedule.h
@@ -42,10 +42,13 @@
   Drain,
   Configure,
   Evacuate,
-  // A request that crashes the servers which run it.
+  // Servers that ask for rest, or say themselves that they leave; a request
+  // that crashes those which run it.
+  ServerRests,
+  ServerLeaves,
   DeadlyRequest,
 };
-inline constexpr std::size_t FaultKinds = 29;
+inline constexpr std::size_t FaultKinds = 31;
 
 std::string_view toString(fault_kind Kind);
 
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -17,6 +17,8 @@
 static constexpr duration SlowWork = std::chrono::milliseconds(600);
 /// Until the next start of a server that crashed.
 static constexpr duration DownTime = std::chrono::seconds(1);
+/// What was under way may still reach a server that has asked for rest.
+static constexpr duration RestBegins = std::chrono::milliseconds(500);
 
 soak_run::soak_run(std::string Program, std::uint64_t Seed,
                    const soak_size &Size)
@@ -99,7 +101,7 @@
   else if (Fault.Kind <= fault_kind::Evacuate)
     beginChange(Fault);
   else
-    Deadly.begin();
+    beginOwnWord(Fault);
 }
 
 void soak_run::beginAtNode(const fault &Fault) {
@@ -253,6 +255,40 @@
   });
 }
 
+void soak_run::beginRest(target_stand_in &Target, duration For) {
+  Target.Behavior = behavior::Sheds;
+  Target.RestSeconds = cat(static_cast<double>(For.count()) / 1e6);
+  Fleet.Loop.after(RestBegins, [this, &Target, For] {
+    const int Before = Target.RestsAskedFor;
+    Fleet.Loop.after(std::max(duration::zero(), For - RestBegins),
+                     [this, &Target, Before] {
+                       LateAtRest.push_back(Target.RestsAskedFor - Before);
+                       Target.Behavior = behavior::Sound;
+                       Target.RestSeconds.clear();
+                     });
+  });
+}
+
+void soak_run::beginOwnWord(const fault &Fault) {
+  server &Server = *Servers[Fault.Subject % Servers.size()];
+  if (Fault.Kind == fault_kind::ServerRests) {
+    beginRest(standIn(Server), Fault.For);
+    return;
+  }
+  if (Fault.Kind == fault_kind::DeadlyRequest) {
+    Deadly.begin();
+    return;
+  }
+  const bool HasLeft =
+      std::find(Drained.begin(), Drained.end(), Server.Id) != Drained.end();
+  if (HasLeft || 2 * Drained.size() >= Servers.size())
+    return;
+  Drained.push_back(Server.Id);
+  standIn(Server).SaysItLeaves = true;
+  Fleet.Loop.after(
+      Fault.For, [this, Id = Server.Id] { Fleet.Store.remove("servers", Id); });
+}
+
 /// Ends what is still disturbed. What the faults themselves end later finds
 /// nothing to do.
 void soak_run::heal() {
@@ -302,9 +338,13 @@
       Broken.push_back(cat(Id, " left and got new work"));
 }
 
-/// What servers crashed under was heeded. A node that starts again or wakes up
-/// has to be told once more.
-void soak_run::checkCrashes(std::vector<std::string> &Broken) {
+/// What servers said of themselves, and what they crashed under, was heeded. A
+/// node that starts again or wakes up has to be told once more.
+void soak_run::checkOwnWords(std::vector<std::string> &Broken) {
+  const std::size_t Told = Fleet.Nodes.size() + ProcessFaults;
+  for (int Late : LateAtRest)
+    if (static_cast<std::size_t>(Late) > Told)
+      Broken.push_back(cat("a server that rested got ", Late, " requests"));
   if (Deadly.lateCrashes() > ProcessFaults)
     Broken.push_back(cat("a deadly request crashed ", Deadly.lateCrashes(),
                          " servers late, ", Deadly.crashes(), " in all"));
@@ -334,7 +374,7 @@
     Result.Broken.emplace_back("the fleet doesn't settle after the faults");
   stopCallers();
   checkAfterwards(Result.Broken);
-  checkCrashes(Result.Broken);
+  checkOwnWords(Result.Broken);
 
   std::vector<attempt_seen> Attempts;
   for (const auto &Caller : Callers)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -55,6 +55,8 @@
   void beginAtServer(const fault &Fault);
   void beginAtServerLink(const fault &Fault);
   void beginChange(const fault &Fault);
+  void beginOwnWord(const fault &Fault);
+  void beginRest(target_stand_in &Target, duration For);
   void restartAfterCrash(server &Server);
   void restart(node_process &Node);
   /// Whether it was told to end and hasn't ended yet.
@@ -65,7 +67,7 @@
   void stopCallers();
   void checkAfterwards(std::vector<std::string> &Broken);
   target_stand_in &standIn(const server &Server);
-  void checkCrashes(std::vector<std::string> &Broken);
+  void checkOwnWords(std::vector<std::string> &Broken);
   node_process &chooseNode();
 
   std::mt19937_64 Random;
@@ -75,6 +77,8 @@
   std::vector<std::unique_ptr<soak_caller>> Callers;
   deadly_request Deadly{Fleet,
                         [this]() -> node_process & { return chooseNode(); }};
+  /// Requests at servers that rested, from half a second after they asked.
+  std::vector<int> LateAtRest;
   /// Faults that a node's process has had.
   std::size_t ProcessFaults = 0;
   /// Ids of servers that left.
