--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -116,7 +116,8 @@
   return nullptr;
 }
 
-members homesOf(const fleet &Fleet, std::uint64_t Hash, std::size_t Count) {
+members rendezvousMembers(const fleet &Fleet, std::uint64_t Hash,
+                          std::size_t Count) {
   using ranked_member = std::pair<std::uint64_t, const fleet_member *>;
   std::vector<ranked_member> Ranked = {
       {rendezvousRank(stableHash(Fleet.Own.Name), Hash), nullptr}};
@@ -127,11 +128,11 @@
   std::partial_sort(Ranked.begin(),
                     Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
                     Ranked.end(), std::greater<>());
-  members Homes;
+  members First;
   for (std::size_t Index = 0; Index < Count; ++Index)
     if (Ranked[Index].second)
-      Homes.push_back(Ranked[Index].second);
-  return Homes;
+      First.push_back(Ranked[Index].second);
+  return First;
 }
 
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members) {
--- a/Libraries/Fleet/fleet.h
+++ b/Libraries/Fleet/fleet.h
@@ -64,7 +64,7 @@
 /// The others among the first \p Count instances that are up in the order that
 /// \p Hash gives them.
 std::vector<const fleet_member *>
-homesOf(const fleet &Fleet, std::uint64_t Hash, std::size_t Count);
+rendezvousMembers(const fleet &Fleet, std::uint64_t Hash, std::size_t Count);
 
 /// Sets the known instances from the platform's store.
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members);
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -125,9 +125,9 @@
   const instant Now = Node.Loop.now();
   for (crash_report &Suspicion :
        reportSuspicions(Node.Steering.Quarantine, Now))
-    for (const fleet_member *Home :
-         homesOf(Node.Fleet, Suspicion.Content, CountingInstances))
-      sendCrashes({Suspicion}, *Home);
+    for (const fleet_member *Counting :
+         rendezvousMembers(Node.Fleet, Suspicion.Content, CountingInstances))
+      sendCrashes({Suspicion}, *Counting);
   for (int Receiver = 0; Receiver < NewsReceivers; ++Receiver) {
     auto News = reportNews(Node.Steering.Quarantine, Now);
     const fleet_member *Member =
--- a/Tests/quarantine_test.cpp
+++ b/Tests/quarantine_test.cpp
@@ -265,14 +265,15 @@
   void tick(std::size_t Index) {
     for (const crash_report &Suspicion :
          reportSuspicions(Instances[Index], Now))
-      for (std::size_t Home : homesOf(Suspicion.Content))
-        if (Home != Index)
-          send({Home, {Suspicion}, false, Index});
+      for (std::size_t Counting : countingInstances(Suspicion.Content))
+        if (Counting != Index)
+          send({Counting, {Suspicion}, false, Index});
     for (int Receiver = 0; Receiver < NewsReceivers; ++Receiver)
       send({other(), reportNews(Instances[Index], Now), false, Index});
   }
 
-  [[nodiscard]] std::vector<std::size_t> homesOf(std::uint64_t Content) const {
+  [[nodiscard]] std::vector<std::size_t>
+  countingInstances(std::uint64_t Content) const {
     std::vector<std::size_t> Order(Instances.size());
     std::iota(Order.begin(), Order.end(), 0);
     std::partial_sort(Order.begin(), Order.begin() + CountingInstances,
