--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -11,9 +11,9 @@
 /// Servers that may be found unreachable before a request is refused: each
 /// costs the caller up to ConnectTime.
 static constexpr int MostUnreachable = 3;
-/// A server that asks for more is asked again after this long: what it says may
-/// be wrong, and nobody else brings it back.
-static constexpr duration LongestRest = std::chrono::minutes(5);
+/// A server that asks for more is asked again after this long: a wrong number
+/// must not shut it out for the rest of its life.
+static constexpr duration LongestRest = std::chrono::hours(1);
 /// A request that meets a node which is still learning is tried again this
 /// often: short against the objectives, and few wake-ups in the time that the
 /// lists take.
