--- a/Libraries/Quarantine/quarantine.h
+++ b/Libraries/Quarantine/quarantine.h
@@ -69,8 +69,7 @@
   int NewsMessages = 6;
   /// How often a changed suspicion is told to each instance that counts it.
   int SuspicionRepeats = 1;
-  /// These bound the bytes of control: a message of 4 reports has 0.4 KB, one
-  /// of a suspicion 0.2 KB.
+  /// The next four bound the bytes of control.
   int NewsMessagesPerSecond = 4;
   int SuspicionsPerSecond = 4;
   std::size_t MaxReportsOfNews = 4;
