Node: log and expose the usage of the retry budget

Cause: no line and no metric says how much of the retry budget a node has used, of what, and with how many instances in its view. The hypotheses on retries beyond the budget predict different values of just these. Change: a retry_budget line a second and service while it is used, two gauges, and counts of denied and uncharged retries.

--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -42,20 +42,44 @@
                   retry_counts::Slices] += 1;
 }
 
+/// The part of the slack that belongs to one of \p Instances.
+static double ownSlack(const retry_bounds &Bounds, std::size_t Instances) {
+  return Bounds.Slack /
+         static_cast<double>(std::max<std::size_t>(Instances, 1));
+}
+
+static retry_usage usageOf(const retry_counts &Counts,
+                           const retry_bounds &Bounds, std::size_t Instances) {
+  const double Requests = sum(Counts.Requests);
+  return {Requests, sum(Counts.Retries),
+          RetryBudgetShare *
+              (Bounds.Ratio * Requests + ownSlack(Bounds, Instances))};
+}
+
+retry_usage retryUsage(windowed_retry_budget &Budget,
+                       const std::string &Service, std::size_t Instances,
+                       instant Now) {
+  return usageOf(countsAt(Budget, Service, Now), Budget.Bounds, Instances);
+}
+
 bool tryAcquireRetry(windowed_retry_budget &Budget, const std::string &Service,
                      std::size_t Instances, instant Now) {
   retry_counts &Counts = countsAt(Budget, Service, Now);
-  const double Slack = Budget.Bounds.Slack /
-                       static_cast<double>(std::max<std::size_t>(Instances, 1));
-  const double Allowed =
-      RetryBudgetShare * (Budget.Bounds.Ratio * sum(Counts.Requests) + Slack);
-  if (sum(Counts.Retries) + 1 > Allowed)
+  const retry_usage Usage = usageOf(Counts, Budget.Bounds, Instances);
+  if (Usage.Retries + 1 > Usage.Allowed) {
+    ++Counts.Denied;
     return false;
+  }
   Counts.Retries[static_cast<std::size_t>(Counts.LastSlice) %
                  retry_counts::Slices] += 1;
   return true;
 }
 
+void recordUnchargedRetry(windowed_retry_budget &Budget,
+                          const std::string &Service) {
+  ++Budget.ByService[Service].Uncharged;
+}
+
 std::size_t
 countHigherRankedInstances(std::uint64_t Hash, std::uint64_t OwnHash,
                            const std::vector<std::uint64_t> &Instances) {
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -31,6 +31,19 @@
   std::array<double, Slices> Retries{};
   /// Number of the slice that was written last.
   std::int64_t LastSlice = 0;
+  /// Retries since the start that were denied, and those that needed no token
+  /// because no earlier attempt had reached a server.
+  std::int64_t Denied = 0;
+  std::int64_t Uncharged = 0;
+};
+
+/// What one service's budget at this instance allows and what it has spent,
+/// over the last window.
+struct retry_usage {
+  double Requests = 0;
+  double Retries = 0;
+  /// Upper bound of Retries.
+  double Allowed = 0;
 };
 
 /// Limits retries to a fraction of requests, so that they cannot multiply a
@@ -47,6 +60,14 @@
 /// Instances share the slack.
 bool tryAcquireRetry(windowed_retry_budget &Budget, const std::string &Service,
                      std::size_t Instances, instant Now);
+/// Records a retry that needs no token.
+void recordUnchargedRetry(windowed_retry_budget &Budget,
+                          const std::string &Service);
+/// Returns the usage of the budget for \p Service, as tryAcquireRetry() sees
+/// it.
+retry_usage retryUsage(windowed_retry_budget &Budget,
+                       const std::string &Service, std::size_t Instances,
+                       instant Now);
 
 /// Number of \p Instances that rank above the one with \p OwnHash in the
 /// rendezvous order for \p Hash; all instances agree on it without
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -372,8 +372,11 @@
   if (Plan.Deadline - Now < MinTimeLeft)
     return false;
   // An attempt that never reached a server does not count as a retry there.
-  return Plan.DeliveredAttempts == 0 ||
-         tryAcquireRetry(Steering.RetryBudget, Plan.Service,
+  if (Plan.DeliveredAttempts == 0) {
+    recordUnchargedRetry(Steering.RetryBudget, Plan.Service);
+    return true;
+  }
+  return tryAcquireRetry(Steering.RetryBudget, Plan.Service,
                          Steering.Instances.size(), Now);
 }
 
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -7,6 +7,7 @@
 #include "names.h"
 #include "node.h"
 #include "peer_link.h"
+#include "retry_budget_log.h"
 #include "status.h"
 #include "store_sync.h"
 #include "target_pool.h"
@@ -222,6 +223,7 @@
 
   std::string SettingsFile;
   node Node;
+  retry_budget_log RetryLog{Node};
   target_pool Pool;
   caller_server Callers;
   store_sync Store;
--- a/Tests/pacing_test.cpp
+++ b/Tests/pacing_test.cpp
@@ -99,3 +99,18 @@
   CHECK_FALSE(tryAcquireRetry(Budget, "desk", 9, instant(seconds(5))));
   CHECK(tryAcquireRetry(Budget, "desk", 9, instant(seconds(30))));
 }
+
+TEST(Pacing, UsageReportsInputsOfTheDecision) {
+  windowed_retry_budget Budget;
+  Budget.Bounds = {0.2, seconds(10), 18};
+  const instant Now{seconds(5)};
+  for (int Request = 0; Request < 10; ++Request)
+    countRequest(Budget, "desk", Now);
+  CHECK(tryAcquireRetry(Budget, "desk", 9, Now));
+  recordUnchargedRetry(Budget, "desk");
+  const retry_usage Usage = retryUsage(Budget, "desk", 9, Now);
+  DOUBLES_EQUAL(10, Usage.Requests, 0);
+  DOUBLES_EQUAL(1, Usage.Retries, 0);
+  DOUBLES_EQUAL(0.8 * (0.2 * 10 + 18.0 / 9), Usage.Allowed, 1e-9);
+  LONGS_EQUAL(1, Budget.ByService["desk"].Uncharged);
+}
