--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -35,6 +35,11 @@
   return Sum;
 }
 
+windowed_retry_budget makeRetryBudget(const retry_bounds &Bounds,
+                                      instant /*Now*/) {
+  return {Bounds, {}};
+}
+
 void countRequest(windowed_retry_budget &Budget, const std::string &Service,
                   instant Now) {
   retry_counts &Counts = countsAt(Budget, Service, Now);
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -53,6 +53,9 @@
   text_map<retry_counts> ByService;
 };
 
+/// Creates the budget of a process that starts at \p Now.
+windowed_retry_budget makeRetryBudget(const retry_bounds &Bounds, instant Now);
+
 /// Records a request of a caller for \p Service.
 void countRequest(windowed_retry_budget &Budget, const std::string &Service,
                   instant Now);
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -12,9 +12,10 @@
       Log(STDOUT_FILENO, Settings.Instance) {
   Loop.atEndOfIteration([this] { Retired.clear(); });
   Loop.runEvery(LogFlushPeriod, [this] { Log.flush(); });
-  Steering.RetryBudget.Bounds = {Settings.Bounds.RetryRatio,
-                                 Settings.Bounds.RetryWindow,
-                                 Settings.Bounds.RetrySlack};
+  Steering.RetryBudget =
+      makeRetryBudget({Settings.Bounds.RetryRatio, Settings.Bounds.RetryWindow,
+                       Settings.Bounds.RetrySlack},
+                      Loop.now());
   setDomains(Steering.Targets, Settings.FailureDomains);
   Steering.OwnRegion = regionIndex(Steering.Targets, Settings.Region);
   Steering.Instances = {stableHash(Settings.Instance)};
--- /dev/null
+++ b/Tests/retry_budget_test.cpp
@@ -0,0 +1,134 @@
+// Tests the bound on the retries of all instances together while instances
+// start, restart and don't know each other.
+
+#include "Pacing/pacing.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace amaranthhoist;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr duration Step = milliseconds(100);
+constexpr duration Window = seconds(10);
+constexpr std::size_t StepsPerWindow = Window / Step;
+constexpr double Ratio = 0.2;
+constexpr double Slack = 58;
+const retry_bounds Bounds = {Ratio, Window, Slack};
+const instant Start{seconds(1'000)};
+
+/// Instances whose servers fail all the time, so that each retry that the
+/// budget permits is sent.
+struct failing_fleet {
+  explicit failing_fleet(std::size_t Count) : Random(3) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Budgets.push_back(makeRetryBudget(Bounds, Now));
+  }
+
+  void restartAll() {
+    for (windowed_retry_budget &Budget : Budgets)
+      Budget = makeRetryBudget(Bounds, Now);
+  }
+
+  /// Serves requests for one step, up to \p MaxPerInstance at each instance,
+  /// with \p KnownInstances in each instance's view.
+  void serve(std::uint64_t MaxPerInstance, std::size_t KnownInstances) {
+    Requests.push_back(0);
+    Retries.push_back(0);
+    for (windowed_retry_budget &Budget : Budgets) {
+      const std::uint64_t Arrivals = Random() % (MaxPerInstance + 1);
+      for (std::uint64_t Index = 0; Index < Arrivals; ++Index) {
+        countRequest(Budget, "desk", Now);
+        Requests.back() += 1;
+        while (tryAcquireRetry(Budget, "desk", KnownInstances, Now))
+          Retries.back() += 1;
+      }
+    }
+    Now += Step;
+  }
+
+  /// Number of windows in which the retries exceed the bound.
+  [[nodiscard]] int brokenWindows() const {
+    int Broken = 0;
+    for (std::size_t End = 1; End <= Requests.size(); ++End) {
+      const std::size_t From = End - std::min(End, StepsPerWindow);
+      double Asked = 0;
+      double Retried = 0;
+      for (std::size_t At = From; At < End; ++At) {
+        Asked += Requests[At];
+        Retried += Retries[At];
+      }
+      Broken += Retried > Ratio * Asked + Slack ? 1 : 0;
+    }
+    return Broken;
+  }
+
+  instant Now = Start;
+  std::mt19937_64 Random;
+  std::vector<windowed_retry_budget> Budgets;
+  std::vector<double> Requests;
+  std::vector<double> Retries;
+};
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(RetryBudget) {};
+// clang-format on
+
+// Failure: instances that are killed within a window start again with the
+// slack that their predecessors have spent, and retries exceed the bound.
+TEST(RetryBudget, RestartsDoNotGrantSlackAgain) {
+  constexpr std::size_t Count = 9;
+  constexpr std::size_t StepsPerRestart = 30;
+  failing_fleet Fleet(Count);
+  for (std::size_t At = 0; At < 4 * StepsPerWindow; ++At) {
+    if (At % StepsPerRestart == 0)
+      Fleet.restartAll();
+    Fleet.serve(2, Count);
+  }
+  LONGS_EQUAL(0, Fleet.brokenWindows());
+}
+
+// Failure: instances that don't know the others yet each use the slack of all.
+TEST(RetryBudget, UnknownInstancesPermitNoSlack) {
+  failing_fleet Fleet(9);
+  for (std::size_t At = 0; At < 4 * StepsPerWindow; ++At)
+    Fleet.serve(2, /*KnownInstances=*/0);
+  LONGS_EQUAL(0, Fleet.brokenWindows());
+}
+
+// Failure: the slack is spent in two bursts that are less than a window apart,
+// because the first one has left the counts already.
+TEST(RetryBudget, BurstsWithinOneWindowShareTheSlack) {
+  constexpr std::size_t Count = 9;
+  constexpr std::size_t StepsApart = StepsPerWindow - 1;
+  failing_fleet Fleet(Count);
+  for (std::size_t At = 0; At < 2 * StepsPerWindow; ++At)
+    Fleet.serve(0, Count);
+  // Each offset between the bursts and the slices of the window.
+  for (int Offset = 0; Offset < 8; ++Offset) {
+    Fleet.serve(3, Count);
+    for (std::size_t At = 1; At < StepsApart; ++At)
+      Fleet.serve(0, Count);
+    Fleet.serve(3, Count);
+    for (std::size_t At = 0; At < StepsPerWindow + 1; ++At)
+      Fleet.serve(0, Count);
+  }
+  LONGS_EQUAL(0, Fleet.brokenWindows());
+}
+
+// The slack is for bursts of failures; it must not be withheld for good.
+TEST(RetryBudget, SlackIsAvailableAfterOneWindow) {
+  constexpr std::size_t Count = 9;
+  windowed_retry_budget Budget = makeRetryBudget(Bounds, Start);
+  const instant Later = Start + Window + Window / 10;
+  int Permitted = 0;
+  while (tryAcquireRetry(Budget, "desk", Count, Later))
+    ++Permitted;
+  CHECK_COMPARE(Permitted, >=, 5);
+}
