Pacing: a process that starts leaves the slack alone for one window

Callers saw nothing but more load: with most answers spoiled, all nodes together retried more than the operators allow whenever nodes were killed. Cause: the counts of the retry budget live in the process. Each start granted its part of the slack anew, while what the predecessor had spent still counted in the operators' window. Nine nodes killed three times in 7 s spent it four times over. Change: the slack is available from one window after the start. By then all that a predecessor charged has left every window. The part by requests stays: requests of the new process pay for its retries. Result: -g RetryBudget RestartsDoNotGrantSlackAgain: 370 of 400 windows above the bound before, 0 now.

--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -35,9 +35,8 @@
   return Sum;
 }
 
-windowed_retry_budget makeRetryBudget(const retry_bounds &Bounds,
-                                      instant /*Now*/) {
-  return {Bounds, {}};
+windowed_retry_budget makeRetryBudget(const retry_bounds &Bounds, instant Now) {
+  return {Bounds, Now + Bounds.Window, {}};
 }
 
 void countRequest(windowed_retry_budget &Budget, const std::string &Service,
@@ -48,29 +47,28 @@
 }
 
 /// The part of the slack that belongs to one of \p Instances.
-static double ownSlack(const retry_bounds &Bounds, std::size_t Instances) {
-  return Bounds.Slack /
+static double ownSlack(const windowed_retry_budget &Budget,
+                       std::size_t Instances, instant Now) {
+  if (Now < Budget.SlackAvailableFrom)
+    return 0;
+  return Budget.Bounds.Slack /
          static_cast<double>(std::max<std::size_t>(Instances, 1));
 }
 
-static retry_usage usageOf(const retry_counts &Counts,
-                           const retry_bounds &Bounds, std::size_t Instances) {
-  const double Requests = sum(Counts.Requests);
-  return {Requests, sum(Counts.Retries),
-          RetryBudgetShare *
-              (Bounds.Ratio * Requests + ownSlack(Bounds, Instances))};
-}
-
 retry_usage retryUsage(windowed_retry_budget &Budget,
                        const std::string &Service, std::size_t Instances,
                        instant Now) {
-  return usageOf(countsAt(Budget, Service, Now), Budget.Bounds, Instances);
+  const retry_counts &Counts = countsAt(Budget, Service, Now);
+  const double Requests = sum(Counts.Requests);
+  return {Requests, sum(Counts.Retries),
+          RetryBudgetShare * (Budget.Bounds.Ratio * Requests +
+                              ownSlack(Budget, Instances, Now))};
 }
 
 bool tryAcquireRetry(windowed_retry_budget &Budget, const std::string &Service,
                      std::size_t Instances, instant Now) {
+  const retry_usage Usage = retryUsage(Budget, Service, Instances, Now);
   retry_counts &Counts = countsAt(Budget, Service, Now);
-  const retry_usage Usage = usageOf(Counts, Budget.Bounds, Instances);
   if (Usage.Retries + 1 > Usage.Allowed) {
     ++Counts.Denied;
     return false;
