Tests: node process tests have their own retry ratio

Cause: since a started process leaves the slack alone, two tests that send a few requests to a new node got no retry: ServerThatRequestsBackoffGetsNoRequests and IdempotentRequestIsRetriedUpToMaxAttempts. They test the backoff and the bound of attempts, not the budget; a node with a handful of requests is bound by it first. Change: the process tests' fleets permit ten retries a request, so that every retry that a test may see is possible, as with the slack before; their checks are unchanged. The soak keeps the operators' 0.2. A new test holds a started node to its ratio.

--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -158,7 +158,9 @@
       "\n  control: ", Node.Control, "\n  peers: ", Node.Peers,
       "\nlimits:\n  processor: 0.2\n  memory_mb: 260\n"
       "  file_descriptors: 4100\n"
-      "bounds:\n  repeat_ratio: 0.2\n  repeat_window: 10s\n"
+      "bounds:\n  repeat_ratio: ",
+      RetryRatio,
+      "\n  repeat_window: 10s\n"
       "  repeat_slack: 60\n  grace_period: 6s\n  lookup_ttl: 5s\n");
   return File;
 }
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -77,6 +77,9 @@
   std::vector<std::unique_ptr<node_process>> Nodes;
   /// Whether the settings list the other nodes as seeds.
   bool HasSeeds = true;
+  /// Retries permitted per request. The default leaves room for every retry:
+  /// a node that has just started has no slack, and few requests pay for none.
+  double RetryRatio = 10;
   /// Remaining deadline that requests carry, in milliseconds.
   int DeadlineMs = 3'000;
   /// Affinity key of all requests; empty: each request uses its own id.
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -1,6 +1,7 @@
 // Tests real node processes against scripted backend servers and a scripted
 // store. No verdict depends on timing.
 
+#include "Text/text.h"
 #include "node_fleet.h"
 #include "small_fleet.h"
 
@@ -64,6 +65,24 @@
   LONGS_EQUAL(2, runsOf(Fleet, "id-1"));
 }
 
+// Failure: a node that has started again retries as if nothing had been retried
+// before, and all nodes together exceed the budget.
+TEST(NodeProcess, StartedNodeRetriesWithinTheRatioAlone) {
+  constexpr int Requests = 60;
+  constexpr double Ratio = 0.05;
+  small_fleet Fleet(Ratio);
+  int Runs = 0;
+  for (int Request = 0; Request < Requests; ++Request) {
+    // Few enough failures that no server is ejected.
+    const bool Fails = Request % 6 == 0;
+    Fleet.setAll(Fails ? behavior::LosesResponses : behavior::Normal);
+    const std::string Id = cat("id-", Request);
+    Fleet.fetch(*Fleet.Node, "/safe/x", Id);
+    Runs += runsOf(Fleet, Id);
+  }
+  CHECK_COMPARE(Runs - Requests, <=, Ratio * Requests);
+}
+
 // Failure: a caller receives "not executed" and the request still runs, because
 // the node refuses it while a copy is still in flight.
 TEST(NodeProcess, UnexecutedRequestIsRefusedWithRetryAfter) {
--- a/Tests/NodeProcesses/small_fleet.cpp
+++ b/Tests/NodeProcesses/small_fleet.cpp
@@ -18,7 +18,9 @@
   return Runs;
 }
 
-small_fleet::small_fleet() : node_fleet(nodeProgram()) {
+small_fleet::small_fleet(std::optional<double> OwnRetryRatio)
+    : node_fleet(nodeProgram()) {
+  RetryRatio = OwnRetryRatio.value_or(RetryRatio);
   putConfiguration(1);
   addTarget("s1");
   addTarget("s2");
--- a/Tests/NodeProcesses/small_fleet.h
+++ b/Tests/NodeProcesses/small_fleet.h
@@ -3,6 +3,7 @@
 
 #include "node_fleet.h"
 
+#include <optional>
 #include <string>
 
 namespace amaranthhoist {
@@ -15,7 +16,7 @@
 int runsOf(const node_fleet &Fleet, const std::string &Id);
 
 struct small_fleet : node_fleet {
-  small_fleet();
+  explicit small_fleet(std::optional<double> RetryRatio = std::nullopt);
   void setAll(target_stand_in::behavior Behavior);
 
   node_process *Node = nullptr;
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -14,6 +14,8 @@
 static constexpr std::array<const char *, 3> Domains = {"a1", "a2", "b1"};
 /// Fault-free time at the end of each run before the callers stop.
 static constexpr duration CalmTime = std::chrono::milliseconds(1'500);
+/// Retries permitted per request, as operators set it.
+static constexpr double RetryRatio = 0.2;
 static constexpr duration SlowWork = std::chrono::milliseconds(600);
 /// Time until a crashed server restarts.
 static constexpr duration DownTime = std::chrono::seconds(1);
@@ -28,6 +30,7 @@
 }
 
 void soak_run::build(const soak_size &Size) {
+  Fleet.RetryRatio = RetryRatio;
   Fleet.putConfiguration(Version);
   for (std::size_t Index = 0; Index < Size.Servers; ++Index)
     addServer(Domains[Index % Domains.size()]);
