Node: shares of common bounds begin when the instances are known

Cause: a node took itself for the only instance until it had the list of instances. It serves callers 0.4 s after its start once it has routes and servers, so without that list it used the slack of the whole fleet, and the rate of cold servers alike. Class: a share computed from what is known so far as if that were all. Change: the list of instances is empty until the first full list of their kind; an empty view has no share of the slack, and none of a cold server's rate.

--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -49,10 +49,9 @@
 /// The part of the slack that belongs to one of \p Instances.
 static double ownSlack(const windowed_retry_budget &Budget,
                        std::size_t Instances, instant Now) {
-  if (Now < Budget.SlackAvailableFrom)
+  if (Instances == 0 || Now < Budget.SlackAvailableFrom)
     return 0;
-  return Budget.Bounds.Slack /
-         static_cast<double>(std::max<std::size_t>(Instances, 1));
+  return Budget.Bounds.Slack / static_cast<double>(Instances);
 }
 
 retry_usage retryUsage(windowed_retry_budget &Budget,
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -63,7 +63,7 @@
 void countRequest(windowed_retry_budget &Budget, const std::string &Service,
                   instant Now);
 /// Acquires a retry from the budget; returns false if none is left. \p
-/// Instances share the slack.
+/// Instances share the slack; 0 if their number is not known yet.
 bool tryAcquireRetry(windowed_retry_budget &Budget, const std::string &Service,
                      std::size_t Instances, instant Now);
 /// Records a retry that needs no token.
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -42,7 +42,8 @@
   windowed_retry_budget RetryBudget;
   /// Request contents that crash the servers which run them.
   quarantine Quarantine;
-  /// Hashes of all instances; this instance's hash is the first.
+  /// Hashes of all instances; this instance's hash is the first. Empty until
+  /// the list of instances is known: what they share can't be divided before.
   std::vector<std::uint64_t> Instances;
   /// Index of this instance's region in the target directory.
   std::size_t OwnRegion = 0;
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -18,7 +18,6 @@
                       Loop.now());
   setDomains(Steering.Targets, Settings.FailureDomains);
   Steering.OwnRegion = regionIndex(Steering.Targets, Settings.Region);
-  Steering.Instances = {stableHash(Settings.Instance)};
 }
 
 std::int64_t configurationVersion(const node &Node) {
--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -61,7 +61,9 @@
     return;
   for (const object_change &Change : Changes.Changes)
     apply(Changes.Kind, Change);
-  if (Changes.Kind == object_kind::Instance && !Changes.Changes.empty())
+  // An empty full list is the first one of a new fleet.
+  if (Changes.Kind == object_kind::Instance &&
+      (IsFull || !Changes.Changes.empty()))
     applyInstances();
   Node.HasFullState = Node.HasFullState || hasFullState();
   if (IsFull)
