Pacing: retries are counted for a whole window

Cause: the counts had 20 slices for a window of 20 slices, and the current one has only begun: a retry was forgotten 9.5 to 10 s after it. Two bursts that far apart each had the whole slack. Class: a ring as long as the window it covers. Change: one more slice. Retries are summed over at least one window, requests over at most one.

--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -14,7 +14,7 @@
                               const std::string &Service, instant Now) {
   retry_counts &Counts = Budget.ByService[Service];
   const duration Length =
-      Budget.Bounds.Window / static_cast<int>(retry_counts::Slices);
+      Budget.Bounds.Window / static_cast<int>(retry_counts::SlicesPerWindow);
   const std::int64_t Slice = Now.time_since_epoch() / Length;
   const auto Passed =
       std::min<std::int64_t>(Slice - Counts.LastSlice, retry_counts::Slices);
@@ -28,10 +28,16 @@
   return Counts;
 }
 
-static double sum(const std::array<double, retry_counts::Slices> &Values) {
+using slice_counts = std::array<double, retry_counts::Slices>;
+
+/// Sums the current slice and the \p Count - 1 before it.
+static double sumOfLast(std::size_t Count, const slice_counts &Values,
+                        std::int64_t LastSlice) {
+  const std::size_t Last =
+      static_cast<std::size_t>(LastSlice) % retry_counts::Slices;
   double Sum = 0;
-  for (double Value : Values)
-    Sum += Value;
+  for (std::size_t Back = 0; Back < Count; ++Back)
+    Sum += Values[(Last + retry_counts::Slices - Back) % retry_counts::Slices];
   return Sum;
 }
 
@@ -58,8 +64,11 @@
                        const std::string &Service, std::size_t Instances,
                        instant Now) {
   const retry_counts &Counts = countsAt(Budget, Service, Now);
-  const double Requests = sum(Counts.Requests);
-  return {Requests, sum(Counts.Retries),
+  // At most one window of requests, and at least one of retries.
+  const double Requests = sumOfLast(retry_counts::SlicesPerWindow,
+                                    Counts.Requests, Counts.LastSlice);
+  return {Requests,
+          sumOfLast(retry_counts::Slices, Counts.Retries, Counts.LastSlice),
           RetryBudgetShare * (Budget.Bounds.Ratio * Requests +
                               ownSlack(Budget, Instances, Now))};
 }
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -26,7 +26,11 @@
 /// Requests and retries of one service at this instance, by slice of the
 /// window.
 struct retry_counts {
-  static constexpr std::size_t Slices = 20;
+  /// Slices of one window.
+  static constexpr std::size_t SlicesPerWindow = 20;
+  /// One more is kept: the current slice has only begun, and without it a retry
+  /// would be forgotten before its window has passed.
+  static constexpr std::size_t Slices = SlicesPerWindow + 1;
   std::array<double, Slices> Requests{};
   std::array<double, Slices> Retries{};
   /// Number of the slice that was written last.
