Node: log the store's era and rejected state

Cause: the hypotheses on changes missed after a store outage differ in what a node rejects and in the store's era, and neither was logged. Change: store_era (from the probes' responses) and state_rejected lines, with the revision held. Nothing decides by them yet.

--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -242,15 +242,12 @@
     std::cerr << Settings.error().Message << "\n";
     return 2;
   }
-  const wire_names Wire{platform::RequestIdHeader,
-                        platform::TimeLeftHeader,
-                        platform::ObjectKeyHeader,
-                        platform::SignatureHeader,
-                        platform::ExpectedTargetHeader,
-                        platform::LoadHeader,
-                        platform::NotRunHeader,
-                        platform::LeavingHeader,
-                        platform::decodeLoad};
+  const wire_names Wire{
+      platform::RequestIdHeader,      platform::TimeLeftHeader,
+      platform::ObjectKeyHeader,      platform::SignatureHeader,
+      platform::ExpectedTargetHeader, platform::LoadHeader,
+      platform::NotRunHeader,         platform::LeavingHeader,
+      platform::StoreEraHeader,       platform::decodeLoad};
   node_program Program(std::move(*Settings), Wire, SettingsFile);
   if (auto Started = Program.start(); !Started) {
     std::cerr << Started.error().Message << "\n";
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -37,6 +37,9 @@
   /// The backend server is draining; present in all of its responses from then
   /// on.
   std::string_view Leaving;
+  /// In all responses of the store: its era, a number that rises each time it
+  /// comes back from an earlier copy.
+  std::string_view StoreEra;
   std::optional<target_load> (*DecodeLoad)(std::string_view);
 };
 
--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -57,8 +57,10 @@
 
 void replicated_state::update(kind_changes Changes) {
   const bool IsFull = Changes.IsFull;
-  if (!applyChanges(Cache, Changes))
+  if (!applyChanges(Cache, Changes)) {
+    logRejected(Changes);
     return;
+  }
   for (const object_change &Change : Changes.Changes)
     apply(Changes.Kind, Change);
   // An empty full list is the first one of a new fleet.
@@ -76,6 +78,18 @@
         Node.Loop.now());
 }
 
+void replicated_state::logRejected(const kind_changes &Changes) {
+  const auto &Held = Cache.Kinds[static_cast<std::size_t>(Changes.Kind)];
+  Node.Log.write(
+      log_kind::ClusterState, "state_rejected",
+      {{"kind", platform::encodeKind(Changes.Kind)},
+       {"full", Changes.IsFull},
+       {"objects", static_cast<std::int64_t>(Changes.Changes.size())},
+       {"revision", static_cast<std::int64_t>(Changes.AtRevision)},
+       {"held_revision", static_cast<std::int64_t>(Held.AtRevision)}},
+      Node.Loop.now());
+}
+
 void replicated_state::apply(object_kind Kind, const object_change &Change) {
   switch (Kind) {
   case object_kind::Configuration:
--- a/Services/Node/replicated_state.h
+++ b/Services/Node/replicated_state.h
@@ -37,6 +37,7 @@
   void applyTarget(const object_change &Change);
   void applyEvacuation(const object_change &Change);
   void applyInstances();
+  void logRejected(const kind_changes &Changes);
   void logUnreadable(object_kind Kind, std::string_view Name,
                      std::string_view Why);
   void runMaintenance();
--- a/Services/Node/store_connection.cpp
+++ b/Services/Node/store_connection.cpp
@@ -28,8 +28,7 @@
                             std::string_view CallBody, duration Timeout,
                             std::function<void(store_response)> WhenDone) {
   OnDone = std::move(WhenDone);
-  Status = 0;
-  Body.clear();
+  Response = {};
   SilenceTimeout = Timeout;
   startTimer();
   if (Connection && !Connection->isOpen())
@@ -71,7 +70,11 @@
 }
 
 bool store_connection::onHead(const message_head &Head) {
-  Status = Head.status();
+  Response.Status = Head.status();
+  // Counted from 1, so that 0 stays free for a store without eras.
+  const auto Era =
+      parseNumber<std::uint64_t>(Head.find(Node.Wire.StoreEra).value_or(""));
+  Response.Era = Era ? *Era + 1 : 0;
   return true;
 }
 
@@ -79,11 +82,11 @@
   // A long response over a slow link may take any time; only a pause in
   // received bytes ends it.
   startTimer();
-  Body.append(Piece);
+  Response.Body.append(Piece);
   Piece.clear();
 }
 
-void store_connection::onComplete() { finish(Status); }
+void store_connection::onComplete() { finish(Response.Status); }
 
 void store_connection::onFailure(const call_failure & /*Failure*/) {
   dropConnection();
@@ -95,7 +98,7 @@
   auto Callback = std::move(OnDone);
   OnDone = nullptr;
   if (Callback)
-    Callback({WithStatus, std::move(Body)});
+    Callback({WithStatus, std::move(Response.Body), Response.Era});
 }
 
 } // namespace amaranthhoist
--- a/Services/Node/store_connection.h
+++ b/Services/Node/store_connection.h
@@ -17,6 +17,8 @@
   /// 0: no response.
   int Status = 0;
   std::string Body;
+  /// The era that the store states; 0 if it states none.
+  std::uint64_t Era = 0;
 };
 
 class store_connection : private call_owner {
@@ -54,8 +56,7 @@
   timer_id Timer = 0;
   /// Maximum time without received bytes during the current call.
   duration SilenceTimeout{};
-  int Status = 0;
-  std::string Body;
+  store_response Response;
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -177,10 +177,19 @@
   Node.Metrics.incrementCounter("amaranthhoist_store_probes_total");
   Prober.call("GET", platform::encodeProbePath(object_kind::Evacuation), {},
               ProbeTimeout, [this](const store_response &Response) {
+                logEra(Response.Era);
                 handleProbeResult(Response.Status == 200);
               });
 }
 
+void store_sync::logEra(std::uint64_t Era) {
+  if (Era == 0 || Era == LoggedEra)
+    return;
+  LoggedEra = Era;
+  Node.Log.write(log_kind::ClusterState, "store_era",
+                 {{"era", static_cast<std::int64_t>(Era)}}, Node.Loop.now());
+}
+
 void store_sync::handleProbeResult(bool IsAnswered) {
   if (!UsesStore)
     return;
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -64,6 +64,7 @@
   void probe();
   void probeNow();
   void handleProbeResult(bool IsAnswered);
+  void logEra(std::uint64_t Era);
   void onStoreResponsive();
   void removeDeadInstances();
 
@@ -88,6 +89,7 @@
   /// Whether a probe timed out since the last response.
   bool HadProbeTimeout = false;
   timer_id NextProbe = 0;
+  std::uint64_t LoggedEra = 0;
   instant RespondedAt{};
   std::map<std::string, instant> DownSince;
 };
