Tests: a store that comes back from an earlier copy

Cause: after a restore the store's revisions go back and are assigned again; nodes take whatever has a lower revision for outdated. Change: the store stand-in can save a copy of itself and come back from it in the next era, which all its responses state.

--- a/Tests/NodeProcesses/store_stand_in.cpp
+++ b/Tests/NodeProcesses/store_stand_in.cpp
@@ -13,8 +13,8 @@
 
 bool store_stand_in::has(const std::string &Kind,
                          const std::string &Name) const {
-  auto Found = Objects.find(Kind);
-  return Found != Objects.end() && Found->second.contains(Name);
+  auto Found = Data.Objects.find(Kind);
+  return Found != Data.Objects.end() && Found->second.contains(Name);
 }
 
 void store_stand_in::setMode(mode NewMode) {
@@ -25,21 +25,34 @@
 
 void store_stand_in::put(const std::string &Kind, const std::string &Name,
                          const json &Specification) {
-  ++Revision;
-  Objects[Kind][Name] = {{"metadata", {{"name", Name}, {"revision", Revision}}},
-                         {"specification", Specification},
-                         {"status", nullptr}};
-  History.push_back({Revision, Kind, false, Objects[Kind][Name]});
+  ++Data.Revision;
+  Data.Objects[Kind][Name] = {
+      {"metadata", {{"name", Name}, {"revision", Data.Revision}}},
+      {"specification", Specification},
+      {"status", nullptr}};
+  Data.History.push_back(
+      {Data.Revision, Kind, false, Data.Objects[Kind][Name]});
   wakeWatches();
 }
 
 void store_stand_in::remove(const std::string &Kind, const std::string &Name) {
-  ++Revision;
-  History.push_back({Revision, Kind, true, Objects[Kind][Name]});
-  Objects[Kind].erase(Name);
+  ++Data.Revision;
+  Data.History.push_back({Data.Revision, Kind, true, Data.Objects[Kind][Name]});
+  Data.Objects[Kind].erase(Name);
   wakeWatches();
 }
 
+void store_stand_in::restoreCopy() {
+  Data = Copy;
+  ++Era;
+  Watches.clear();
+}
+
+void store_stand_in::respond(stand_in_connection &Connection, int Status,
+                             std::string_view Body) {
+  Connection.respond(Status, cat(JsonField, "Store-Era: ", Era, "\r\n"), Body);
+}
+
 void store_stand_in::wakeWatches() {
   std::erase_if(Watches, [&](const watch &Watch) {
     stand_in_connection *Connection = connection(Watch.Connection);
@@ -52,7 +65,7 @@
   if (Mode == mode::Silent)
     return;
   if (Mode == mode::Refusing) {
-    Connection.respond(503, JsonField, "{}");
+    respond(Connection, 503, "{}");
     return;
   }
   std::string_view Target = Connection.head().target();
@@ -79,14 +92,14 @@
     Name = Body["metadata"].value("name", "");
   const bool Exists = has(Kind, Name);
   if (Method == "POST" ? Exists : !Exists) {
-    Connection.respond(Exists ? 409 : 404, JsonField, "{}");
+    respond(Connection, Exists ? 409 : 404, "{}");
     return;
   }
   if (Method == "DELETE")
     remove(Kind, Name);
   else
     put(Kind, Name, Body["specification"]);
-  Connection.respond(200, JsonField, "{}");
+  respond(Connection, 200, "{}");
 }
 
 void store_stand_in::onRead(stand_in_connection &Connection,
@@ -94,18 +107,18 @@
   const std::string Since = queryValue(Query, "watch");
   if (!Since.empty()) {
     const std::uint64_t From = parseNumber<std::uint64_t>(Since).value_or(0);
-    if (From < Oldest)
-      Connection.respond(410, JsonField, "{}");
+    if (From < Oldest || From > Data.Revision)
+      respond(Connection, 410, "{}");
     else if (!respondToWatch(Connection, Kind, From))
       Watches.push_back({Connection.Number, Kind, From});
     return;
   }
   json Items = json::array();
-  for (const auto &[Name, Object] : Objects[Kind])
+  for (const auto &[Name, Object] : Data.Objects[Kind])
     Items.push_back(Object);
-  Connection.respond(
-      200, JsonField,
-      json{{"items", Items}, {"more", false}, {"at_revision", Revision}}
+  respond(
+      Connection, 200,
+      json{{"items", Items}, {"more", false}, {"at_revision", Data.Revision}}
           .dump());
 }
 
@@ -113,15 +126,14 @@
                                     const std::string &Kind,
                                     std::uint64_t Since) {
   json Events = json::array();
-  for (const event &Event : History)
+  for (const event &Event : Data.History)
     if (Event.Kind == Kind && Event.Revision > Since)
       Events.push_back(
           {{"deleted", Event.IsDeleted}, {"object", Event.Object}});
   if (Events.empty())
     return false;
-  Connection.respond(
-      200, JsonField,
-      json{{"events", Events}, {"at_revision", Revision}}.dump());
+  respond(Connection, 200,
+          json{{"events", Events}, {"at_revision", Data.Revision}}.dump());
   return true;
 }
 
--- a/Tests/NodeProcesses/store_stand_in.h
+++ b/Tests/NodeProcesses/store_stand_in.h
@@ -1,6 +1,7 @@
 /// A stand-in for the platform's store: object kinds, one global revision,
 /// lists, long-polling watches and writes. On demand it stops responding,
-/// rejects all requests, or compacts its history.
+/// rejects all requests, compacts its history, or comes back from an earlier
+/// copy of itself. All responses state its era.
 #pragma once
 
 #include "stand_in_server.h"
@@ -20,7 +21,12 @@
            const nlohmann::json &Specification);
   void remove(const std::string &Kind, const std::string &Name);
   /// Compacts the history: watches from older revisions receive status 410.
-  void compact() { Oldest = Revision; }
+  void compact() { Oldest = Data.Revision; }
+  /// Copies all objects and the history, for restoreCopy().
+  void saveCopy() { Copy = Data; }
+  /// Comes back from the copy in the next era: later changes are lost, their
+  /// revisions are assigned again, and waiting watches are dropped.
+  void restoreCopy();
   [[nodiscard]] bool has(const std::string &Kind,
                          const std::string &Name) const;
   /// Number of requests received, of any kind.
@@ -32,6 +38,8 @@
                const std::string &Name);
   void onRead(stand_in_connection &Connection, const std::string &Kind,
               std::string_view Query);
+  void respond(stand_in_connection &Connection, int Status,
+               std::string_view Body);
   bool respondToWatch(stand_in_connection &Connection, const std::string &Kind,
                       std::uint64_t Since);
   void wakeWatches();
@@ -47,11 +55,16 @@
     std::string Kind;
     std::uint64_t Since = 0;
   };
+  struct contents {
+    std::uint64_t Revision = 1;
+    std::map<std::string, std::map<std::string, nlohmann::json>> Objects;
+    std::vector<event> History;
+  };
   mode Mode = mode::Serving;
-  std::uint64_t Revision = 1;
+  std::uint64_t Era = 0;
   std::uint64_t Oldest = 0;
-  std::map<std::string, std::map<std::string, nlohmann::json>> Objects;
-  std::vector<event> History;
+  contents Data;
+  contents Copy;
   std::vector<watch> Watches;
 };
 
