Node: states are ordered by the store's era before its revision

Callers were served by replaced configurations for up to 3.9 s, and servers got requests after they had announced that they are draining. Cause: the store came back from a copy some seconds old. Its revisions went back and were assigned again; the node took revisions to rise for ever. The list after the outage and every change were rejected as older until the revisions had passed the old ones, at watchers and pollers alike; a node whose object was lost didn't register again. Class: a counter compared beyond the lifetime of what counts it. A response of another era than the list's causes a list; the probes show a new era when no call failed. A later era is taken up by a full list alone, an earlier one never. What its first list lacks, or has again though it was removed, changes nothing until its writers had time to write again (2.2 s servers, 6 s operators, 30 s instances). Nodes of earlier builds state no era and are followed until the store was restored; a source whose state is rejected counts as stale.

--- a/Libraries/ObjectCache/object_cache.cpp
+++ b/Libraries/ObjectCache/object_cache.cpp
@@ -37,13 +37,40 @@
       Changes.Changes.push_back({Name, true, Changes.AtRevision, {}});
 }
 
+/// The era that \p Changes belong to. Instances of an earlier build state none;
+/// as long as the store was not restored, theirs is the same.
+static std::uint64_t eraOf(const object_cache::kind_state &Kind,
+                           const kind_changes &Changes) {
+  return Changes.Era == 0 && !Kind.WasRestored ? Kind.Era : Changes.Era;
+}
+
+static bool isApplicable(const object_cache::kind_state &Kind,
+                         const store_position &At, bool IsFull) {
+  if (!Kind.HasFullState || At.Era > Kind.Era)
+    return IsFull;
+  return At >= Kind.position();
+}
+
+/// Drops the tombstones, whose revisions belong to the previous era.
+static void beginEra(object_cache::kind_state &Kind, std::uint64_t Era) {
+  absl::erase_if(Kind.Entries,
+                 [](const auto &Entry) { return Entry.second.IsDeleted; });
+  Kind.Tombstones = 0;
+  Kind.WasRestored = Kind.WasRestored || Kind.Era != 0;
+  Kind.Era = Era;
+}
+
 bool applyChanges(object_cache &Cache, kind_changes &Changes) {
   object_cache::kind_state &Kind =
       Cache.Kinds[static_cast<std::size_t>(Changes.Kind)];
-  if (Kind.HasFullState && Changes.AtRevision < Kind.AtRevision)
-    return false;
-  if (!Kind.HasFullState && !Changes.IsFull)
+  const store_position At = {eraOf(Kind, Changes), Changes.AtRevision};
+  if (!isApplicable(Kind, At, Changes.IsFull))
     return false;
+  if (At.Era != Kind.Era) {
+    beginEra(Kind, At.Era);
+    // Removals before this list are not known.
+    Kind.PrunedUpTo = At.Revision;
+  }
   if (Changes.IsFull)
     addRemovals(Kind, Changes);
   for (object_change &Change : Changes.Changes) {
@@ -57,17 +84,20 @@
   return true;
 }
 
-known_revisions knownRevisions(const object_cache &Cache) {
-  known_revisions Known{};
+known_positions knownPositions(const object_cache &Cache) {
+  known_positions Known{};
   for (std::size_t Index = 0; Index < ObjectKinds; ++Index)
-    Known[Index] = Cache.Kinds[Index].AtRevision;
+    Known[Index] = Cache.Kinds[Index].position();
   return Known;
 }
 
 static kind_changes changesOf(const object_cache::kind_state &Kind,
-                              object_kind Name, std::uint64_t Since) {
+                              object_kind Name, const store_position &Known) {
+  // The revisions of another era don't say what the instance lacks.
+  const std::uint64_t Since = Known.Era == Kind.Era ? Known.Revision : 0;
   kind_changes Changes;
   Changes.Kind = Name;
+  Changes.Era = Kind.Era;
   Changes.AtRevision = Kind.AtRevision;
   Changes.IsFull = Since == 0 || Since < Kind.PrunedUpTo;
   for (const auto &[ObjectName, Entry] : Kind.Entries) {
@@ -81,11 +111,11 @@
 }
 
 cache_changes changesSince(const object_cache &Cache,
-                           const known_revisions &Known) {
+                           const known_positions &Known) {
   cache_changes Result;
   for (std::size_t Index = 0; Index < ObjectKinds; ++Index) {
     const auto &Kind = Cache.Kinds[Index];
-    if (Kind.HasFullState && Kind.AtRevision > Known[Index])
+    if (Kind.HasFullState && Kind.position() > Known[Index])
       Result.Kinds.push_back(
           changesOf(Kind, static_cast<object_kind>(Index), Known[Index]));
   }
--- a/Libraries/ObjectCache/object_cache.h
+++ b/Libraries/ObjectCache/object_cache.h
@@ -8,6 +8,7 @@
 #include "Text/text.h"
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -36,6 +37,16 @@
   std::string Text;
 };
 
+/// A point in the store's history. When the store comes back from an earlier
+/// copy of itself, the next era begins: revisions go back and are assigned
+/// again, so that they order states only within one era.
+struct store_position {
+  /// 0: not known, from a store or an instance that states none.
+  std::uint64_t Era = 0;
+  std::uint64_t Revision = 0;
+  auto operator<=>(const store_position &) const = default;
+};
+
 /// Changes of one kind.
 struct kind_changes {
   object_kind Kind = object_kind::Configuration;
@@ -44,6 +55,8 @@
   /// Whether these are all objects of the kind. If so, all others are removed.
   bool IsFull = false;
   std::vector<object_change> Changes;
+  /// Era of the store that the revisions belong to; 0: not known.
+  std::uint64_t Era = 0;
 };
 
 /// Changes that one instance sends to another.
@@ -68,30 +81,38 @@
   };
   struct kind_state {
     text_map<entry> Entries;
+    std::uint64_t Era = 0;
     std::uint64_t AtRevision = 0;
     /// Upper bound of the revisions of the tombstones that were dropped.
     std::uint64_t PrunedUpTo = 0;
     std::size_t Tombstones = 0;
     /// Whether it has held the full state at least once.
     bool HasFullState = false;
+    /// Whether the store was restored from a copy since. From then on changes
+    /// of an unknown era may belong to an earlier one.
+    bool WasRestored = false;
+
+    [[nodiscard]] store_position position() const { return {Era, AtRevision}; }
   };
   std::array<kind_state, ObjectKinds> Kinds;
 };
 
 /// Applies changes from the store or another instance. Returns false and
-/// applies nothing if they would go back to an older revision of the store, or
-/// if they are incremental and there is no full state yet. \p Changes gains the
-/// removals that a full list implies.
+/// applies nothing if they would go back to an earlier era or to an older
+/// revision of the same era, or if they are incremental and there is no full
+/// state of their era yet. \p Changes gains the removals that a full list
+/// implies.
 bool applyChanges(object_cache &Cache, kind_changes &Changes);
 
-/// Revisions of the store that a state corresponds to, by kind; 0: none yet.
-using known_revisions = std::array<std::uint64_t, ObjectKinds>;
+/// Positions in the store's history that a state corresponds to, by kind; zero:
+/// none yet.
+using known_positions = std::array<store_position, ObjectKinds>;
 
-known_revisions knownRevisions(const object_cache &Cache);
+known_positions knownPositions(const object_cache &Cache);
 
 /// Returns the changes that an instance at \p Known lacks. Kinds that are up to
 /// date are left out.
 cache_changes changesSince(const object_cache &Cache,
-                           const known_revisions &Known);
+                           const known_positions &Known);
 
 } // namespace amaranthhoist
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -41,6 +41,8 @@
   atRevision @1 :UInt64;
   isFull @2 :Bool;
   changes @3 :List(ObjectChange);
+  # Era of the store; 0: not known. Instances of earlier builds state none.
+  era @4 :UInt64;
 }
 
 struct KindList {
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -98,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c7e8f9af567096ef, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c7e8f9af567096ef, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -593,6 +593,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -637,6 +639,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::ObjectChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1399,6 +1404,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t KindChanges::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindChanges::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void KindChanges::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KindList::Reader::hasKinds() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -111,6 +111,7 @@
       return std::nullopt;
     kind_changes Changes;
     Changes.Kind = static_cast<object_kind>(Kind.getKind());
+    Changes.Era = Kind.getEra();
     Changes.AtRevision = Kind.getAtRevision();
     Changes.IsFull = Kind.getIsFull();
     for (const auto Change : Kind.getChanges())
@@ -180,6 +181,7 @@
   for (unsigned Index = 0; Index < Kinds.size(); ++Index) {
     const kind_changes &Kind = All[Index];
     Kinds[Index].setKind(static_cast<std::uint8_t>(Kind.Kind));
+    Kinds[Index].setEra(Kind.Era);
     Kinds[Index].setAtRevision(Kind.AtRevision);
     Kinds[Index].setIsFull(Kind.IsFull);
     auto List =
--- a/Libraries/StoreClient/list_watch.cpp
+++ b/Libraries/StoreClient/list_watch.cpp
@@ -10,6 +10,16 @@
   return {Watch.Next, Watch.After, Watch.Revision, Watch.AllowStale};
 }
 
+bool acceptEra(list_watch &Watch, std::uint64_t Era) {
+  const bool BeginsList = Watch.Next == store_verb::List && Watch.After.empty();
+  if (BeginsList)
+    Watch.Era = Era;
+  if (Era == Watch.Era)
+    return true;
+  restartList(Watch);
+  return false;
+}
+
 std::vector<stored_object> *applyPage(list_watch &Watch, list_page Page) {
   Watch.ConsecutiveFailures = 0;
   if (Watch.After.empty()) {
--- a/Libraries/StoreClient/list_watch.h
+++ b/Libraries/StoreClient/list_watch.h
@@ -84,6 +84,8 @@
   store_verb Next = store_verb::List;
   std::string After;
   std::uint64_t Revision = 0;
+  /// Era of the store that the revision belongs to; 0: not known.
+  std::uint64_t Era = 0;
   /// Pages received so far of the list in progress.
   std::vector<stored_object> Pages;
   /// The lowest revision of the pages: a page may lack any later change.
@@ -96,6 +98,12 @@
 
 store_request nextRequest(const list_watch &Watch);
 
+/// Checks the era that the store states in a response. Returns false if the
+/// store was restored from an earlier copy since the list began: the response
+/// says nothing about the changes since Watch.Revision, and the next call is a
+/// list.
+bool acceptEra(list_watch &Watch, std::uint64_t Era);
+
 /// Handles a page. Returns all objects once the list is complete, nullptr
 /// before. They correspond to the revision Watch.Revision.
 std::vector<stored_object> *applyPage(list_watch &Watch, list_page Page);
--- a/Services/Node/instance_registration.cpp
+++ b/Services/Node/instance_registration.cpp
@@ -28,7 +28,19 @@
   return IsListed ? &Entry->second.Text : nullptr;
 }
 
+void instance_registration::checkEra() {
+  const std::uint64_t CacheEra =
+      State.cache().Kinds[static_cast<std::size_t>(object_kind::Instance)].Era;
+  if (CacheEra == Era)
+    return;
+  Era = CacheEra;
+  ExistsInStore = false;
+  NextWriteAt = {};
+  Backoff = InitialBackoff;
+}
+
 void instance_registration::maintain() {
+  checkEra();
   if (Node.IsShuttingDown || Writer.isBusy() || Node.Loop.now() < NextWriteAt)
     return;
   const std::string *Listed = listedText();
--- a/Services/Node/instance_registration.h
+++ b/Services/Node/instance_registration.h
@@ -23,6 +23,8 @@
 private:
   /// The object's text in the list, or nullptr if it is not listed.
   [[nodiscard]] const std::string *listedText() const;
+  /// Forgets what the store reported before it was restored from a copy.
+  void checkEra();
   void write(bool IsAbsent);
   void handleResponse(const store_response &Response, bool WasCreation);
 
@@ -33,6 +35,8 @@
   duration Backoff{};
   /// The store reported that the object exists, even if the list lacks it.
   bool ExistsInStore = false;
+  /// Era of the store in which this was last checked.
+  std::uint64_t Era = 0;
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -41,13 +41,24 @@
   if (MustList) {
     restartList(Watch);
     MustList = false;
-  } else if (Known.HasFullState && Known.AtRevision > Watch.Revision) {
+  } else if (Known.HasFullState &&
+             Known.position() > store_position{Watch.Era, Watch.Revision}) {
+    Watch.Era = Known.Era;
     Watch.Revision = Known.AtRevision;
     Watch.Next = store_verb::Watch;
   }
   step();
 }
 
+void kind_follower::onStoreEra(std::uint64_t Era) {
+  if (!IsRunning || Era <= Watch.Era || Watch.Era == 0)
+    return;
+  Node.Loop.cancel(NextStep);
+  Connection.abandon();
+  restartList(Watch);
+  step();
+}
+
 void kind_follower::stop() {
   IsRunning = false;
   Node.Loop.cancel(NextStep);
@@ -89,6 +100,10 @@
     return retry(store_failure::NoResponse);
   if (Response.Status != 200)
     return retry(store_failure::Malformed);
+  if (!acceptEra(Watch, Response.Era)) {
+    stepAfter(duration::zero());
+    return;
+  }
   const bool IsSound =
       IsWatch ? handleBatch(Response.Body) : handlePage(Response.Body);
   if (!IsSound)
@@ -105,7 +120,7 @@
   auto *All = applyPage(Watch, std::move(*Page));
   if (!All)
     return true;
-  kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/true, {}};
+  kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/true, {}, Watch.Era};
   for (stored_object &Object : *All)
     Changes.Changes.push_back({std::move(Object.Name), false, Object.Revision,
                                std::move(Object.Text)});
@@ -119,7 +134,7 @@
   if (!Batch)
     return false;
   NextDelay = applyBatch(Watch, *Batch);
-  kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/false, {}};
+  kind_changes Changes{Kind, Watch.Revision, /*IsFull=*/false, {}, Watch.Era};
   for (stored_change &Change : Batch->Changes)
     Changes.Changes.push_back(
         {std::move(Change.Object.Name), Change.IsDeleted,
--- a/Services/Node/kind_follower.h
+++ b/Services/Node/kind_follower.h
@@ -22,6 +22,10 @@
   /// Starts, continues after stop(), or restarts the call in flight: the store
   /// may have dropped it without closing its connection.
   void startOrRestart();
+  /// Called with the era that the store states in a response to another call.
+  /// Lists again if the store was restored since the last list: a watch that it
+  /// dropped may wait for its timeout.
+  void onStoreEra(std::uint64_t Era);
   /// Stops making calls until startOrRestart().
   void stop();
   /// Stops like stop(), because the store does not respond. The store may drop
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -108,11 +108,8 @@
                                         : std::optional<cache_changes>();
   if (Changes)
     RespondedAt = Node.Loop.now();
-  if (!Changes || Changes->Age > StaleStateAge) {
-    if (++FailedSources <= MaxQuickRetries)
-      pollSoon();
-    return;
-  }
+  if (!Changes || Changes->Age > StaleStateAge)
+    return tryNextSource();
   // While polling a source that isn't a regular one, periodically tries to
   // return to the regular ones.
   const bool IsRegular = FailedSources < primarySources(Node.Fleet).size() ||
@@ -122,9 +119,18 @@
     FallbackResponses = 0;
   }
   State.onPeerListState(Changes->ListIsComplete);
-  FreshAt = Node.Loop.now() - Changes->Age;
+  bool IsApplied = true;
   for (kind_changes &Kind : Changes->Kinds)
-    State.update(std::move(Kind));
+    IsApplied = State.update(std::move(Kind)) && IsApplied;
+  // A source that holds an earlier era of the store has nothing fresh.
+  if (!IsApplied)
+    return tryNextSource();
+  FreshAt = Node.Loop.now() - Changes->Age;
+}
+
+void relay_link::tryNextSource() {
+  if (++FailedSources <= MaxQuickRetries)
+    pollSoon();
 }
 
 } // namespace amaranthhoist
--- a/Services/Node/relay_link.h
+++ b/Services/Node/relay_link.h
@@ -31,6 +31,7 @@
   void poll();
   void pollSoon();
   void handleResponse(const store_response &Response);
+  void tryNextSource();
   void chooseSource();
   void setSource(const std::string &Name, const std::string &Control);
 
--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -8,11 +8,33 @@
 
 static constexpr duration HousekeepingPeriod = std::chrono::milliseconds(150);
 
+/// How long the objects that a restored store lacks, or has again, stay as they
+/// were. Backend servers write again within two seconds, as after an outage;
+/// operators have the time by which an outage stretches their bounds at most;
+/// an instance counts as removed after the same time as a dead one.
+static constexpr duration TargetDeferral = std::chrono::milliseconds(2'200);
+static constexpr duration OperatorDeferral = std::chrono::seconds(6);
+static constexpr duration InstanceDeferral = std::chrono::seconds(30);
+
+static duration deferralOf(object_kind Kind) {
+  switch (Kind) {
+  case object_kind::Target:
+    return TargetDeferral;
+  case object_kind::Instance:
+    return InstanceDeferral;
+  case object_kind::Configuration:
+  case object_kind::Evacuation:
+    return OperatorDeferral;
+  }
+  return OperatorDeferral;
+}
+
 replicated_state::replicated_state(node &Node) : Node(Node) {
   Node.Loop.runEvery(HousekeepingPeriod, [this] { runMaintenance(); });
 }
 
 void replicated_state::runMaintenance() {
+  applyDeferred();
   if (isTargetListComplete())
     removeMissing(Node.Steering.Targets);
   freeRetired(Node.Steering.Targets);
@@ -55,17 +77,27 @@
                      [](const auto &Kind) { return Kind.HasFullState; });
 }
 
-void replicated_state::update(kind_changes Changes) {
+bool replicated_state::update(kind_changes Changes) {
   const bool IsFull = Changes.IsFull;
+  const auto Index = static_cast<std::size_t>(Changes.Kind);
+  const object_cache::kind_state &Held = Cache.Kinds[Index];
+  const std::uint64_t EraBefore = Held.Era;
+  const bool HadFullState = Held.HasFullState;
+  text_set RemovedBefore;
+  if (Changes.Era > EraBefore)
+    RemovedBefore = removedNames(Held);
   if (!applyChanges(Cache, Changes)) {
     logRejected(Changes);
-    return;
+    return false;
   }
-  for (const object_change &Change : Changes.Changes)
-    apply(Changes.Kind, Change);
+  if (HadFullState && Held.Era != EraBefore)
+    beginEra(Changes, RemovedBefore);
+  else
+    reconcileDeferred(Deferred[Index], Changes);
+  applyAll(Changes.Kind, Changes.Changes);
   // An empty full list is the first one of a new fleet.
-  if (Changes.Kind == object_kind::Instance &&
-      (IsFull || !Changes.Changes.empty()))
+  if (Changes.Kind == object_kind::Instance && IsFull &&
+      Changes.Changes.empty())
     applyInstances();
   Node.HasFullState = Node.HasFullState || hasFullState();
   if (IsFull)
@@ -76,6 +108,38 @@
          {"revision", static_cast<std::int64_t>(Changes.AtRevision)},
          {"sure", isTargetListComplete()}},
         Node.Loop.now());
+  return true;
+}
+
+void replicated_state::beginEra(kind_changes &Changes,
+                                const text_set &RemovedBefore) {
+  const instant Now = Node.Loop.now();
+  const auto Index = static_cast<std::size_t>(Changes.Kind);
+  deferUnconfirmed(Deferred[Index], Changes, RemovedBefore,
+                   Now + deferralOf(Changes.Kind));
+  if (Changes.Kind == object_kind::Target)
+    recordStoreOutage(Trust, Now);
+  Node.Log.write(
+      log_kind::ClusterState, "store_restored",
+      {{"kind", platform::encodeKind(Changes.Kind)},
+       {"era", static_cast<std::int64_t>(Cache.Kinds[Index].Era)},
+       {"revision", static_cast<std::int64_t>(Changes.AtRevision)},
+       {"deferred", static_cast<std::int64_t>(Deferred[Index].Changes.size())}},
+      Now);
+}
+
+void replicated_state::applyDeferred() {
+  for (std::size_t Index = 0; Index < ObjectKinds; ++Index)
+    applyAll(static_cast<object_kind>(Index),
+             popDeferred(Deferred[Index], Node.Loop.now()));
+}
+
+void replicated_state::applyAll(object_kind Kind,
+                                std::span<const object_change> Changes) {
+  for (const object_change &Change : Changes)
+    apply(Kind, Change);
+  if (Kind == object_kind::Instance && !Changes.empty())
+    applyInstances();
 }
 
 void replicated_state::logRejected(const kind_changes &Changes) {
@@ -103,6 +167,10 @@
     applyEvacuation(Change);
     return;
   case object_kind::Instance:
+    if (Change.IsDeleted)
+      InstanceTexts.erase(Change.Name);
+    else
+      InstanceTexts[Change.Name] = Change.Text;
     return;
   }
 }
@@ -182,13 +250,9 @@
 }
 
 void replicated_state::applyInstances() {
-  const auto &Entries =
-      Cache.Kinds[static_cast<std::size_t>(object_kind::Instance)].Entries;
   std::vector<fleet_member> Members;
-  for (const auto &[Name, Entry] : Entries) {
-    if (Entry.IsDeleted)
-      continue;
-    auto Member = platform::decodeMember(Entry.Text);
+  for (const auto &[Name, Text] : InstanceTexts) {
+    auto Member = platform::decodeMember(Text);
     if (Member)
       Members.push_back(std::move(*Member));
     else
--- a/Services/Node/replicated_state.h
+++ b/Services/Node/replicated_state.h
@@ -2,10 +2,13 @@
 /// configuration, servers, evacuated failure domains and fleet.
 #pragma once
 
+#include "ObjectCache/deferred_changes.h"
 #include "ObjectCache/object_cache.h"
 #include "Targets/list_completeness.h"
 #include "node.h"
 
+#include <array>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,8 +18,9 @@
 public:
   explicit replicated_state(node &Node);
 
-  /// Applies changes; ignores those older than the cached state.
-  void update(kind_changes Changes);
+  /// Applies changes. Returns false for those older than the cached state,
+  /// which are ignored.
+  bool update(kind_changes Changes);
 
   /// Called when the store stops responding, and when it responds again.
   void onStoreOutage();
@@ -33,6 +37,10 @@
 
 private:
   void apply(object_kind Kind, const object_change &Change);
+  void applyAll(object_kind Kind, std::span<const object_change> Changes);
+  /// Called with the first list of an era, before it is applied.
+  void beginEra(kind_changes &Changes, const text_set &RemovedBefore);
+  void applyDeferred();
   void applyConfigurationText(const std::string &Text);
   void applyTarget(const object_change &Change);
   void applyEvacuation(const object_change &Change);
@@ -45,6 +53,9 @@
 
   node &Node;
   object_cache Cache;
+  std::array<deferred_changes, ObjectKinds> Deferred;
+  /// The listed instances' objects, by name.
+  text_map<std::string> InstanceTexts;
   list_completeness Trust;
   instant ConfigurationAppliedAt{};
   /// Last logged share of the requests that spill over to all regions, by
--- a/Services/Node/state_server.cpp
+++ b/Services/Node/state_server.cpp
@@ -11,10 +11,13 @@
 std::string changesRequest(const node &Node, const object_cache &Known) {
   std::string Text = cat(ChangesPath, "?known=");
   bool KnowsNothing = true;
-  for (std::uint64_t Revision : knownRevisions(Known)) {
-    append(Text, Revision, ",");
-    KnowsNothing = KnowsNothing && Revision == 0;
+  std::string Eras;
+  for (const store_position &Position : knownPositions(Known)) {
+    append(Text, Position.Revision, ",");
+    append(Eras, Position.Era, ",");
+    KnowsNothing = KnowsNothing && Position.Revision == 0;
   }
+  append(Text, "&eras=", Eras);
   if (KnowsNothing)
     append(Text, "&domain=", Node.Settings.FailureDomain,
            "&region=", Node.Settings.Region,
@@ -23,13 +26,28 @@
   return Text;
 }
 
-static known_revisions parseKnownRevisions(std::string_view Query) {
-  known_revisions Known{};
-  const std::string Value = queryValue(Query, "known");
+/// Parses a query parameter with one number for each kind.
+static std::array<std::uint64_t, ObjectKinds>
+parseNumbers(std::string_view Value) {
+  std::array<std::uint64_t, ObjectKinds> Numbers{};
   const auto Texts = split(Value, ',');
-  for (std::size_t Index = 0; Index < Known.size() && Index < Texts.size();
+  for (std::size_t Index = 0; Index < Numbers.size() && Index < Texts.size();
        ++Index)
-    Known[Index] = parseNumber<std::uint64_t>(Texts[Index]).value_or(0);
+    Numbers[Index] = parseNumber<std::uint64_t>(Texts[Index]).value_or(0);
+  return Numbers;
+}
+
+/// Parses the positions that a query states. An instance of an earlier build
+/// states no eras; it is served as if they were those of \p Own.
+static known_positions parseKnownPositions(std::string_view Query,
+                                           const known_positions &Own) {
+  const std::string Eras = queryValue(Query, "eras");
+  const auto EraNumbers = parseNumbers(Eras);
+  const auto Revisions = parseNumbers(queryValue(Query, "known"));
+  known_positions Known{};
+  for (std::size_t Index = 0; Index < Known.size(); ++Index)
+    Known[Index] = {Eras.empty() ? Own[Index].Era : EraNumbers[Index],
+                    Revisions[Index]};
   return Known;
 }
 
@@ -46,9 +64,11 @@
 }
 
 small_response state_server::handleQuery(std::string_view Query) {
-  const known_revisions Known = parseKnownRevisions(Query);
-  const bool IsNew = std::all_of(Known.begin(), Known.end(),
-                                 [](std::uint64_t At) { return At == 0; });
+  const known_positions Known =
+      parseKnownPositions(Query, knownPositions(State.cache()));
+  const bool IsNew =
+      std::all_of(Known.begin(), Known.end(),
+                  [](const store_position &At) { return At.Revision == 0; });
   if (IsNew)
     return serveNewInstance(Query);
   cache_changes Changes = responseHead();
@@ -58,10 +78,10 @@
 }
 
 const packed_kinds &state_server::fullSnapshot() {
-  const known_revisions At = knownRevisions(State.cache());
-  if (At != SnapshotRevisions) {
+  const known_positions At = knownPositions(State.cache());
+  if (At != SnapshotPositions) {
     FullSnapshot = packKinds(changesSince(State.cache(), {}).Kinds);
-    SnapshotRevisions = At;
+    SnapshotPositions = At;
   }
   return FullSnapshot;
 }
--- a/Services/Node/state_server.h
+++ b/Services/Node/state_server.h
@@ -47,9 +47,9 @@
   const replicated_state &State;
   std::function<duration()> StateAge;
   snapshot_throttle HandOut;
-  /// The revisions of the full snapshot.
   packed_kinds FullSnapshot;
-  known_revisions SnapshotRevisions{};
+  /// The positions that the full snapshot corresponds to.
+  known_positions SnapshotPositions{};
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -177,17 +177,19 @@
   Node.Metrics.incrementCounter("amaranthhoist_store_probes_total");
   Prober.call("GET", platform::encodeProbePath(object_kind::Evacuation), {},
               ProbeTimeout, [this](const store_response &Response) {
-                logEra(Response.Era);
+                checkEra(Response.Era);
                 handleProbeResult(Response.Status == 200);
               });
 }
 
-void store_sync::logEra(std::uint64_t Era) {
-  if (Era == 0 || Era == LoggedEra)
+void store_sync::checkEra(std::uint64_t Era) {
+  if (Era == 0 || Era == StatedEra)
     return;
-  LoggedEra = Era;
+  StatedEra = Era;
   Node.Log.write(log_kind::ClusterState, "store_era",
                  {{"era", static_cast<std::int64_t>(Era)}}, Node.Loop.now());
+  for (kind_follower &Follower : Followers)
+    Follower.onStoreEra(Era);
 }
 
 void store_sync::handleProbeResult(bool IsAnswered) {
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -64,7 +64,8 @@
   void probe();
   void probeNow();
   void handleProbeResult(bool IsAnswered);
-  void logEra(std::uint64_t Era);
+  /// Handles the era that the store states in the response to a probe.
+  void checkEra(std::uint64_t Era);
   void onStoreResponsive();
   void removeDeadInstances();
 
@@ -89,7 +90,7 @@
   /// Whether a probe timed out since the last response.
   bool HadProbeTimeout = false;
   timer_id NextProbe = 0;
-  std::uint64_t LoggedEra = 0;
+  std::uint64_t StatedEra = 0;
   instant RespondedAt{};
   std::map<std::string, instant> DownSince;
 };
--- a/Tests/store_test.cpp
+++ b/Tests/store_test.cpp
@@ -133,7 +133,7 @@
     if (Step % 7 != 0)
       continue;
     const object_cache &Source = Random() % 2 == 0 ? One : Two;
-    cache_changes Missing = changesSince(Source, knownRevisions(Reader));
+    cache_changes Missing = changesSince(Source, knownPositions(Reader));
     for (kind_changes &Kind : Missing.Kinds) {
       CHECK_FALSE(Kind.IsFull);
       CHECK(Kind.Changes.size() <= 7);
@@ -147,7 +147,7 @@
   object_cache Cache;
   kind_changes First = changes(5, true, {makeChange("a", 3)});
   applyChanges(Cache, First);
-  LONGS_EQUAL(0, changesSince(Cache, knownRevisions(Cache)).Kinds.size());
+  LONGS_EQUAL(0, changesSince(Cache, knownPositions(Cache)).Kinds.size());
 }
 
 TEST(Store, ChangesAreEncodedAndDecoded) {
