Soak: the store comes back from an earlier copy

Cause: no randomized run had a store that goes back; the fault of the incident would have passed the soak. Change: a fault in a stream of its own, so that seeds keep their other faults; a second later operators and servers write again what they had written, except for what was changed since. The drawing of added kinds is one loop.

--- a/Tests/NodeProcesses/store_stand_in.cpp
+++ b/Tests/NodeProcesses/store_stand_in.cpp
@@ -36,6 +36,9 @@
 }
 
 void store_stand_in::remove(const std::string &Kind, const std::string &Name) {
+  // A restore may have lost it.
+  if (!has(Kind, Name))
+    return;
   ++Data.Revision;
   Data.History.push_back({Data.Revision, Kind, true, Data.Objects[Kind][Name]});
   Data.Objects[Kind].erase(Name);
@@ -43,11 +46,32 @@
 }
 
 void store_stand_in::restoreCopy() {
+  Lost = Data;
   Data = Copy;
   ++Era;
   Watches.clear();
 }
 
+bool store_stand_in::isChangedSinceRestore(const std::string &Kind,
+                                           const std::string &Name) {
+  if (!has(Kind, Name))
+    return Copy.Objects[Kind].contains(Name);
+  return Data.Objects[Kind][Name]["metadata"]["revision"] > Copy.Revision;
+}
+
+void store_stand_in::writeLostAgain() {
+  for (const char *Kind : {"config", "servers", "evacuations"}) {
+    for (const auto &[Name, Object] : Lost.Objects[Kind])
+      if (!isChangedSinceRestore(Kind, Name))
+        put(Kind, Name, Object["specification"]);
+    const auto Restored = Copy.Objects[Kind];
+    for (const auto &[Name, Object] : Restored)
+      if (!Lost.Objects[Kind].contains(Name) &&
+          !isChangedSinceRestore(Kind, Name))
+        remove(Kind, Name);
+  }
+}
+
 void store_stand_in::respond(stand_in_connection &Connection, int Status,
                              std::string_view Body) {
   Connection.respond(Status, cat(JsonField, "Store-Era: ", Era, "\r\n"), Body);
--- a/Tests/NodeProcesses/store_stand_in.h
+++ b/Tests/NodeProcesses/store_stand_in.h
@@ -27,6 +27,9 @@
   /// Comes back from the copy in the next era: later changes are lost, their
   /// revisions are assigned again, and waiting watches are dropped.
   void restoreCopy();
+  /// Writes again what operators and servers had written and the last restore
+  /// lost, except for objects that were changed since.
+  void writeLostAgain();
   [[nodiscard]] bool has(const std::string &Kind,
                          const std::string &Name) const;
   /// Number of requests received, of any kind.
@@ -40,6 +43,8 @@
               std::string_view Query);
   void respond(stand_in_connection &Connection, int Status,
                std::string_view Body);
+  /// Whether an object was written or removed since the last restore.
+  bool isChangedSinceRestore(const std::string &Kind, const std::string &Name);
   bool respondToWatch(stand_in_connection &Connection, const std::string &Kind,
                       std::uint64_t Since);
   void wakeWatches();
@@ -65,6 +70,8 @@
   std::uint64_t Oldest = 0;
   contents Data;
   contents Copy;
+  /// The objects that the last restore replaced.
+  contents Lost;
   std::vector<watch> Watches;
 };
 
--- a/Tests/Soak/schedule.cpp
+++ b/Tests/Soak/schedule.cpp
@@ -37,13 +37,27 @@
     "evacuate",
     "server rests",
     "server leaves",
-    "deadly request"};
+    "deadly request",
+    "store restored"};
 
-/// Number of kinds in the first draw. Kinds added later are drawn from a
-/// separate generator, so that existing seeds keep their faults.
+namespace {
+
+/// Kinds that are drawn from a generator of their own, so that seeds keep their
+/// faults when kinds are added.
+struct added_kinds {
+  std::size_t First = 0;
+  std::size_t Count = 0;
+  std::uint64_t Stream = 0;
+  /// Most faults of these kinds in a run.
+  std::size_t Most = 0;
+};
+
+} // namespace
+
+/// Number of kinds in the first draw.
 static constexpr std::size_t FirstKinds = 28;
-static constexpr std::uint64_t SecondStream = 0x5eed;
-static constexpr std::size_t MostOfOthers = 3;
+static constexpr std::array<added_kinds, 2> AddedKinds = {
+    {{FirstKinds, 3, 0x5eed, 3}, {31, 1, 0xc0b1e, 2}}};
 
 /// Shortest and longest duration of a fault.
 static constexpr int ShortestMs = 100;
@@ -74,10 +88,12 @@
   std::vector<fault> Faults;
   for (std::size_t Index = 0; Index < Count; ++Index)
     Faults.push_back(drawFault(Random, 0, FirstKinds, Limits.Length));
-  std::mt19937_64 Second(Seed ^ SecondStream);
-  for (std::size_t Left = Second() % (MostOfOthers + 1); Left > 0; --Left)
-    Faults.push_back(
-        drawFault(Second, FirstKinds, FaultKinds - FirstKinds, Limits.Length));
+  for (const added_kinds &Added : AddedKinds) {
+    std::mt19937_64 Stream(Seed ^ Added.Stream);
+    for (std::size_t Left = Stream() % (Added.Most + 1); Left > 0; --Left)
+      Faults.push_back(
+          drawFault(Stream, Added.First, Added.Count, Limits.Length));
+  }
   std::stable_sort(
       Faults.begin(), Faults.end(),
       [](const fault &Left, const fault &Right) { return Left.At < Right.At; });
--- a/Tests/Soak/schedule.h
+++ b/Tests/Soak/schedule.h
@@ -47,8 +47,10 @@
   ServerRequestsBackoff,
   ServerAnnouncesDraining,
   DeadlyRequest,
+  // The store comes back from an earlier copy.
+  StoreRestored,
 };
-inline constexpr std::size_t FaultKinds = 31;
+inline constexpr std::size_t FaultKinds = 32;
 
 std::string_view toString(fault_kind Kind);
 
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -19,6 +19,8 @@
 static constexpr duration SlowWork = std::chrono::milliseconds(600);
 /// Time until a crashed server restarts.
 static constexpr duration DownTime = std::chrono::seconds(1);
+/// Time until operators and servers write again what a restored store lost.
+static constexpr duration WriteAgainDelay = std::chrono::seconds(1);
 /// Requests in flight may still reach a server during this time after it has
 /// requested backoff.
 static constexpr duration RestBegins = std::chrono::milliseconds(500);
@@ -104,6 +106,8 @@
     beginAtServerLink(Fault);
   else if (Fault.Kind <= fault_kind::Evacuate)
     beginChange(Fault);
+  else if (Fault.Kind == fault_kind::StoreRestored)
+    beginRestore(Fault.For);
   else
     beginServerSignal(Fault);
 }
@@ -154,6 +158,15 @@
   Fleet.Loop.runAfter(Fault.For, [&Store] { Store.setMode(mode::Serving); });
 }
 
+void soak_run::beginRestore(duration CopyAge) {
+  Fleet.Store.saveCopy();
+  Fleet.Loop.runAfter(CopyAge, [this] {
+    Fleet.Store.restoreCopy();
+    Fleet.Loop.runAfter(WriteAgainDelay,
+                        [this] { Fleet.Store.writeLostAgain(); });
+  });
+}
+
 static void disturb(event_loop &Loop, link_proxy &Link, link_mode Mode,
                     duration For) {
   Link.setMode(Mode);
@@ -371,7 +384,7 @@
     Fleet.Loop.runAfter(Fault.At, [this, Fault] { begin(Fault); });
   duration Last = Limits.Length;
   for (const fault &Fault : Result.Faults)
-    Last = std::max(Last, Fault.At + Fault.For);
+    Last = std::max(Last, Fault.At + Fault.For + WriteAgainDelay);
   Fleet.runFor(Last + CalmTime);
   endFaults();
   Deadly.end();
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -51,6 +51,7 @@
   void begin(const fault &Fault);
   void beginAtNode(const fault &Fault);
   void beginAtStore(const fault &Fault);
+  void beginRestore(duration CopyAge);
   void beginAtStoreLink(const fault &Fault);
   void beginAtServer(const fault &Fault);
   void beginAtServerLink(const fault &Fault);
