ObjectCache: a first list tells others that earlier removals are unknown

Cause: an instance that has just bootstrapped has no tombstones of what was removed before. A peer that had missed a removal and polled it got the changes since its own revision, without the removal, and kept the server for good. Class: nothing known was served as nothing happened. Change: a first list counts like dropped tombstones: who is behind it gets the full list.

--- a/Libraries/ObjectCache/object_cache.cpp
+++ b/Libraries/ObjectCache/object_cache.cpp
@@ -66,7 +66,7 @@
   const store_position At = {eraOf(Kind, Changes), Changes.AtRevision};
   if (!isApplicable(Kind, At, Changes.IsFull))
     return false;
-  if (At.Era != Kind.Era) {
+  if (!Kind.HasFullState || At.Era != Kind.Era) {
     beginEra(Kind, At.Era);
     // Removals before this list are not known.
     Kind.PrunedUpTo = At.Revision;
--- a/Tests/store_test.cpp
+++ b/Tests/store_test.cpp
@@ -143,6 +143,23 @@
   }
 }
 
+// Guards against the use of a server that was removed: a node that has missed
+// the removal polls an instance that has just bootstrapped, which never had the
+// server and has no tombstone of it.
+TEST(Store, RemovalBeforeBootstrapReachesOthers) {
+  object_cache Late;
+  kind_changes First =
+      changes(5, true, {makeChange("a", 3), makeChange("b", 4)});
+  applyChanges(Late, First);
+  object_cache Bootstrapped;
+  kind_changes List = changes(9, true, {makeChange("a", 3)});
+  applyChanges(Bootstrapped, List);
+  for (kind_changes &Kind :
+       changesSince(Bootstrapped, knownPositions(Late)).Kinds)
+    CHECK(applyChanges(Late, Kind));
+  LONGS_EQUAL(1, countLive(Late));
+}
+
 TEST(Store, UpToDateInstanceGetsNoChanges) {
   object_cache Cache;
   kind_changes First = changes(5, true, {makeChange("a", 3)});
