Node: an attempt that is given up resets its connection

Cold servers got more requests in a second than they bear, though the nodes sent fewer: requests that had been given up arrived as well. Cause: an abandoned attempt closed its connection in the ordinary way. Bytes that a partition holds back stay queued behind it and reach the server when the partition ends, seconds after another server was asked. Class: work given up is not work undone. Change: closing a connection with a call in flight resets it, at servers, peers and the store; what the network still holds of the call is discarded. Result: -n AbandonedAttemptResetsItsConnection fails before, passes now. build/node-process-tests: 50 tests, 307 checks, OK.

--- a/Libraries/HttpConnection/client_connection.cpp
+++ b/Libraries/HttpConnection/client_connection.cpp
@@ -38,6 +38,12 @@
   Stream.close();
 }
 
+void client_connection::abort() {
+  if (Owner)
+    Stream.closeWithReset();
+  close();
+}
+
 void client_connection::onConnected() { Stream.resume(); }
 
 /// Parses `timeout=N` of the Keep-Alive field: the whole seconds for which the
--- a/Libraries/HttpConnection/client_connection.h
+++ b/Libraries/HttpConnection/client_connection.h
@@ -56,6 +56,10 @@
   void call(call_owner &Owner, std::string_view Request, bool IsHeadRequest);
   /// Closes the connection. The owner receives no further callbacks.
   void close();
+  /// Closes like close(), and resets the connection if a call is in flight: the
+  /// network discards what it still holds of the call, which could otherwise
+  /// reach the peer seconds later.
+  void abort();
 
   void pauseReading() { Stream.pause(); }
   void resumeReading() { Stream.resume(); }
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -43,7 +43,7 @@
   };
   if (!Connection)
     return;
-  Connection->close();
+  Connection->abort();
   auto Retired = std::make_unique<retired_connection>();
   Retired->Connection = std::move(Connection);
   Node.Retired.push_back(std::move(Retired));
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -58,7 +58,7 @@
 /// Logs that a content was quarantined or released, if \p Change is set.
 void logQuarantine(node &Node, const std::optional<quarantine_change> &Change);
 
-/// Closes the connection, if any, and destroys it after the current round of
+/// Aborts the connection, if any, and destroys it after the current round of
 /// events.
 void retireConnection(node &Node,
                       std::unique_ptr<client_connection> &Connection);
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -188,6 +188,22 @@
   LONGS_EQUAL(2, Arrivals);
 }
 
+// Failure: a request that the node has given up on reaches its server seconds
+// later. A partition holds its bytes back, and the end of the connection behind
+// them; a reset discards them.
+TEST(NodeProcess, AbandonedAttemptResetsItsConnection) {
+  small_fleet Fleet;
+  Fleet.setAll(behavior::Silent);
+  Fleet.DeadlineMs = 200;
+  LONGS_EQUAL(504, Fleet.fetch(*Fleet.Node, "/safe/x", "id-1").Status);
+  CHECK(Fleet.runUntil([&] {
+    int Lost = 0;
+    for (const auto &[Id, Target] : Fleet.Targets)
+      Lost += Target->ConnectionsLost;
+    return Lost == 1;
+  }));
+}
+
 TEST(NodeProcess, MalformedRequestsAreRejectedAndCloseTheConnection) {
   small_fleet Fleet;
   const std::string Long(20'000, 'x');
--- a/Tests/NodeProcesses/stand_in_server.cpp
+++ b/Tests/NodeProcesses/stand_in_server.cpp
@@ -59,7 +59,8 @@
   Server.onRequest(*this);
 }
 
-void stand_in_connection::onDisconnect(disconnect_reason /*End*/) {
+void stand_in_connection::onDisconnect(disconnect_reason End) {
+  Server.ConnectionsLost += End == disconnect_reason::ConnectionLost ? 1 : 0;
   Server.onConnectionEnd(*this);
   Server.retire(Number);
 }
--- a/Tests/NodeProcesses/stand_in_server.h
+++ b/Tests/NodeProcesses/stand_in_server.h
@@ -62,6 +62,8 @@
   stand_in_connection *connection(std::uint64_t Number);
 
   event_loop &Loop;
+  /// Connections that ended with a reset or an error.
+  int ConnectionsLost = 0;
 
 protected:
   virtual void onRequest(stand_in_connection &Connection) = 0;
