--- a/Services/Node/retry_budget_log.cpp
+++ b/Services/Node/retry_budget_log.cpp
@@ -4,8 +4,8 @@
 
 namespace amaranthhoist {
 
-/// A window has ten such periods or more, so that two lines show what was used
-/// between them.
+/// Short compared to the window of the budget, so that the lines show when it
+/// was used.
 static constexpr duration LogPeriod = std::chrono::seconds(1);
 
 retry_budget_log::retry_budget_log(node &Node) : Node(Node) {
--- a/Tests/NodeProcesses/store_restored_test.cpp
+++ b/Tests/NodeProcesses/store_restored_test.cpp
@@ -62,6 +62,15 @@
     });
   }
 
+  /// Restores the store from a copy that lacks changes which all nodes have.
+  bool restoreWithLoss() {
+    Store.saveCopy();
+    if (!writeLostChanges())
+      return false;
+    Store.restoreCopy();
+    return true;
+  }
+
   /// Waits until all nodes serve the route that the next version adds.
   bool waitExtraRoute() {
     return runUntil([&] {
@@ -86,9 +95,7 @@
 TEST(StoreRestored, ChangeWithReassignedRevisionIsApplied) {
   restored_fleet Fleet;
   CHECK(Fleet.IsReady);
-  Fleet.Store.saveCopy();
-  CHECK(Fleet.writeLostChanges());
-  Fleet.Store.restoreCopy();
+  CHECK(Fleet.restoreWithLoss());
   Fleet.putConfiguration(NextVersion, /*HasExtra=*/true);
   CHECK(Fleet.waitExtraRoute());
 }
@@ -113,9 +120,7 @@
 TEST(StoreRestored, DrainingServerGetsNoRequests) {
   restored_fleet Fleet;
   CHECK(Fleet.IsReady);
-  Fleet.Store.saveCopy();
-  CHECK(Fleet.writeLostChanges());
-  Fleet.Store.restoreCopy();
+  CHECK(Fleet.restoreWithLoss());
   Fleet.listTarget(*Fleet.Targets["s1"], "a1", "draining");
   CHECK(Fleet.runUntil([&] {
     return Fleet.status(*Fleet.Node)["services"]["desk"]["leaving"] == 1;
@@ -128,9 +133,7 @@
   restored_fleet Fleet;
   CHECK(Fleet.IsReady);
   CHECK(Fleet.grow(4));
-  Fleet.Store.saveCopy();
-  CHECK(Fleet.writeLostChanges());
-  Fleet.Store.restoreCopy();
+  CHECK(Fleet.restoreWithLoss());
   Fleet.putConfiguration(NextVersion, /*HasExtra=*/true);
   CHECK(Fleet.waitExtraRoute());
 }
@@ -174,9 +177,7 @@
 TEST(StoreRestored, LostObjectIsRemovedInTheEnd) {
   restored_fleet Fleet;
   CHECK(Fleet.IsReady);
-  Fleet.Store.saveCopy();
-  CHECK(Fleet.writeLostChanges());
-  Fleet.Store.restoreCopy();
+  CHECK(Fleet.restoreWithLoss());
   CHECK(Fleet.runUntil(
       [&] { return Fleet.status(*Fleet.Node)["evacuated"].empty(); }));
 }
