--- a/Libraries/Quarantine/quarantine.cpp
+++ b/Libraries/Quarantine/quarantine.cpp
@@ -17,7 +17,8 @@
        {Content.Method, Content.Host, Content.Target, Content.ObjectKey,
         Content.Credentials, Content.Body})
     Hash = stableHash(Part, Hash);
-  return Hash;
+  // Instances that know no accounts compute the same hash without one.
+  return Content.Account.empty() ? Hash : stableHash(Content.Account, Hash);
 }
 
 std::string contentName(std::uint64_t Content) {
--- a/Libraries/Quarantine/quarantine.h
+++ b/Libraries/Quarantine/quarantine.h
@@ -39,6 +39,9 @@
   /// The caller's credentials; empty if there are none.
   std::string_view Credentials;
   std::string_view Body;
+  /// The caller's account; empty if it has none. All of its API keys are one
+  /// caller.
+  std::string_view Account = {};
 };
 
 /// Fingerprint that identifies a content between instances and in logs without
--- a/Libraries/RouteTable/route_table.cpp
+++ b/Libraries/RouteTable/route_table.cpp
@@ -21,6 +21,9 @@
 route_table makeRouteTable(configuration Configuration) {
   route_table Table;
   Table.Configuration = std::move(Configuration);
+  Table.Accounts =
+      makeAccountDirectory(std::move(Table.Configuration.Accounts));
+  Table.Configuration.Accounts.clear();
   const std::vector<route> &Routes = Table.Configuration.Routes;
   for (std::size_t Index = 0; Index < Routes.size(); ++Index) {
     Table.ByHost[hostWithoutPort(Routes[Index].Host)].push_back(Index);
--- a/Libraries/RouteTable/route_table.h
+++ b/Libraries/RouteTable/route_table.h
@@ -1,7 +1,9 @@
 /// The current configuration: the service that a request is routed to, what may
-/// be retried, and the limits on requests of callers. Sans-I/O.
+/// be retried, the client accounts, and the limits on requests of callers.
+/// Sans-I/O.
 #pragma once
 
+#include "Accounts/accounts.h"
 #include "Core/core.h"
 #include "Text/text.h"
 
@@ -37,6 +39,8 @@
   int MaxAttempts = 1;
   /// Whether a target is faster on an object that it processed recently.
   bool HasAffinity = false;
+  /// Whether its requests need no API key.
+  bool IsPublic = false;
   /// Regions that may process its requests; empty: all.
   std::vector<std::string> HomeRegions;
   /// One part, or several with weights.
@@ -71,11 +75,15 @@
   std::vector<route> Routes;
   std::vector<service> Services;
   request_limits Limits;
+  /// Without any, no request needs an API key.
+  std::vector<client_account> Accounts;
 };
 
 /// A configuration with indices for look-ups.
 struct route_table {
+  /// Its accounts are in Accounts.
   configuration Configuration;
+  account_directory Accounts;
   /// Indices of Routes by host, longest prefix first.
   text_map<std::vector<std::size_t>> ByHost;
   text_map<std::size_t> ServiceByName;
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -69,6 +69,16 @@
     return "not_configured";
   case refusal::NoRoute:
     return "no_route";
+  case refusal::NoAccount:
+    return "no_account";
+  case refusal::NoCommonRegion:
+    return "no_common_region";
+  case refusal::OverLimit:
+    return "over_limit";
+  case refusal::LimitUnknown:
+    return "limit_unknown";
+  case refusal::KeysUnconfirmed:
+    return "keys_unconfirmed";
   case refusal::NoTarget:
     return "no_target";
   case refusal::BackingOff:
@@ -95,6 +105,9 @@
   for (const route &Route : Configuration.Routes)
     Steering.LeastUrgentPriority =
         std::max(Steering.LeastUrgentPriority, Route.Priority);
+  for (const client_account &Account : Configuration.Accounts)
+    Steering.LeastUrgentPriority =
+        std::max(Steering.LeastUrgentPriority, Account.Priority.value_or(0));
   Steering.Routes = makeRouteTable(std::move(Configuration));
   return true;
 }
@@ -126,6 +139,70 @@
   return stableHash(Key, stableHash(Route.PathPrefix, stableHash(Route.Host)));
 }
 
+const client_account *findAccount(const steering &Steering,
+                                  std::string_view ApiKey) {
+  return Steering.Routes ? findAccount(Steering.Routes->Accounts, ApiKey)
+                         : nullptr;
+}
+
+/// The regions in both lists, of which an empty one means all; none if they
+/// have no region in common.
+static std::optional<std::vector<std::string>>
+commonRegions(const std::vector<std::string> &Left,
+              const std::vector<std::string> &Right) {
+  if (Left.empty() || Right.empty())
+    return Left.empty() ? Right : Left;
+  std::vector<std::string> Common;
+  for (const std::string &Region : Left)
+    if (isHomeRegion(Right, Region))
+      Common.push_back(Region);
+  if (Common.empty())
+    return std::nullopt;
+  return Common;
+}
+
+/// Whether requests of \p Route need an API key.
+static bool needsAccount(const route_table &Table, const route &Route) {
+  return !Route.IsPublic && !Table.Accounts.Accounts.empty();
+}
+
+/// Identifies the caller and applies what its account states. Returns why the
+/// request is refused, or nullopt.
+static std::optional<refusal> applyAccount(const route_table &Table,
+                                           const route &Route,
+                                           std::string_view ApiKey,
+                                           request_plan &Plan) {
+  Plan.Version = Table.Configuration.Version;
+  Plan.HomeRegions = Route.HomeRegions;
+  if (!needsAccount(Table, Route))
+    return std::nullopt;
+  const client_account *Account = findAccount(Table.Accounts, ApiKey);
+  if (!Account)
+    return refusal::NoAccount;
+  Plan.Account = Account->Name;
+  Plan.KeyDigest = digestOf(ApiKey);
+  Plan.Priority = Account->Priority.value_or(Plan.Priority);
+  auto Regions = commonRegions(Route.HomeRegions, Account->HomeRegions);
+  if (!Regions)
+    return refusal::NoCommonRegion;
+  Plan.HomeRegions = std::move(*Regions);
+  return std::nullopt;
+}
+
+std::optional<refusal> confirmAccount(const steering &Steering,
+                                      request_plan &Plan) {
+  if (Plan.Account.empty() || !Steering.Routes ||
+      Plan.Version == Steering.Routes->Configuration.Version)
+    return std::nullopt;
+  const client_account *Account =
+      findAccount(Steering.Routes->Accounts, Plan.KeyDigest);
+  if (!Account)
+    return refusal::NoAccount;
+  Plan.Account = Account->Name;
+  Plan.Version = Steering.Routes->Configuration.Version;
+  return std::nullopt;
+}
+
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts) {
   if (!Steering.Routes)
@@ -136,6 +213,9 @@
     return tl::unexpected(refusal::NoRoute);
   const route &Route = Table.Configuration.Routes[Index];
   request_plan Plan;
+  Plan.Priority = Route.Priority;
+  if (const auto Refused = applyAccount(Table, Route, Facts.ApiKey, Plan))
+    return tl::unexpected(*Refused);
   // Without affinity any server is suitable, so each request hashes
   // differently.
   const bool HasObject = Route.HasAffinity && !Facts.ObjectKey.empty();
@@ -144,9 +224,7 @@
   Plan.Service = chooseService(Table, Index, Plan.KeyHash);
   Plan.Content = Facts.Content;
   Plan.Class = Route.Class;
-  Plan.Priority = Route.Priority;
   Plan.MaxAttempts = Route.MaxAttempts;
-  Plan.HomeRegions = Route.HomeRegions;
   Plan.Objective = Route.Objective;
   Plan.Arrived = Facts.Arrived;
   Plan.Deadline =
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -49,7 +49,7 @@
   std::size_t OwnRegion = 0;
   /// Region weights by service.
   text_map<service_weights> Weights;
-  /// The least urgent priority (highest number) among the routes.
+  /// The least urgent priority (highest number) among the routes and accounts.
   int LeastUrgentPriority = 0;
 };
 
@@ -67,7 +67,14 @@
   work_class Class = work_class::NonIdempotent;
   int Priority = 0;
   int MaxAttempts = 1;
+  /// The regions that both the route and the account allow; empty: all.
   std::vector<std::string> HomeRegions;
+  /// The account of the caller; empty if the route needs none.
+  std::string Account;
+  /// Identifies the caller when its request is sent again.
+  key_digest KeyDigest{};
+  /// Version of the configuration that the account was found in.
+  std::uint64_t Version = 0;
   instant Arrived{};
   /// Deadline of the final response: the route's timeout or the caller's,
   /// whichever ends first.
@@ -89,6 +96,17 @@
   /// No configuration has been applied yet.
   NotConfigured,
   NoRoute,
+  /// The caller's API key is missing, or no account holds it.
+  NoAccount,
+  /// The route and the account have home regions, and none in common.
+  NoCommonRegion,
+  /// The account has reached its limit.
+  OverLimit,
+  /// Whether the account has reached its limit is not known: no instance that
+  /// coordinates it responds.
+  LimitUnknown,
+  /// The configuration may be outdated, and keys may have been revoked since.
+  KeysUnconfirmed,
   /// No server of the service is usable.
   NoTarget,
   /// All servers that are otherwise usable requested backoff (Retry-After).
@@ -121,6 +139,8 @@
   instant Arrived{};
   /// Fingerprint of the request content (contentHash()).
   std::uint64_t Content = 0;
+  /// The caller's API key; empty if there is none, or more than one.
+  std::string_view ApiKey = {};
 };
 
 /// The longest timeout among the current routes.
@@ -131,7 +151,17 @@
 work_class findWorkClass(const steering &Steering, std::string_view Host,
                          std::string_view Path);
 
-/// Finds the route of a request and creates its plan.
+/// The account that holds \p ApiKey in the current configuration, or nullptr.
+const client_account *findAccount(const steering &Steering,
+                                  std::string_view ApiKey);
+
+/// Checks before a request is sent, possibly again, that its caller's key is
+/// still valid: it may have been revoked while the request waited. Updates the
+/// account of the plan. Returns why the request is refused, or nullopt.
+std::optional<refusal> confirmAccount(const steering &Steering,
+                                      request_plan &Plan);
+
+/// Finds the route and the account of a request and creates its plan.
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts);
 
--- a/Utilities/install-packages.sh
+++ b/Utilities/install-packages.sh
@@ -9,6 +9,6 @@
   g++ cmake ninja-build pkg-config curl \
   libabsl-dev libcapnp-dev libboost-dev libyaml-cpp-dev libmicrohttpd-dev \
   libcurl4-openssl-dev libcxxopts-dev liblog4cxx-dev libexpected-dev \
-  libcpputest-dev nlohmann-json3-dev libxxhash-dev libhttp-parser-dev \
+  libcpputest-dev nlohmann-json3-dev libxxhash-dev libsodium-dev libhttp-parser-dev \
   zlib1g-dev \
   clang-format clang-tidy >/dev/null
