--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -19,6 +19,23 @@
   isForAll @4 :Bool;
 }
 
+struct QuotaRequest {
+  account @0 :UInt64;
+  sequence @1 :UInt64;
+  spent @2 :UInt64;
+  kept @3 :UInt32;
+  wanted @4 :UInt32;
+  immediate @5 :UInt32;
+}
+
+struct QuotaResponse {
+  account @0 :UInt64;
+  sequence @1 :UInt64;
+  granted @2 :UInt32;
+  retryAfterUs @3 :UInt32;
+  isUnavailable @4 :Bool;
+}
+
 struct Datagram {
   sender @0 :Text;
   kind @1 :UInt8;
@@ -27,6 +44,11 @@
   beliefs @4 :List(Belief);
   control @5 :Text;
   crashes @6 :List(CrashReport);
+  # Number of the sender's process in quota requests, and of the receiver's in
+  # responses.
+  quotaHolder @7 :UInt64;
+  quotaRequests @8 :List(QuotaRequest);
+  quotaResponses @9 :List(QuotaResponse);
 }
 
 struct ObjectChange {
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(b85c28ac47d6e2ad);
 CAPNP_DECLARE_SCHEMA(8e2a4f131e9c7f26);
+CAPNP_DECLARE_SCHEMA(bf32c26676b5cef1);
+CAPNP_DECLARE_SCHEMA(f469534cba7b12d2);
 CAPNP_DECLARE_SCHEMA(9e71e0a2afa59a12);
 CAPNP_DECLARE_SCHEMA(bfc9645bf48c0080);
 CAPNP_DECLARE_SCHEMA(c7e8f9af567096ef);
@@ -60,6 +62,36 @@
   };
 };
 
+struct QuotaRequest {
+  QuotaRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf32c26676b5cef1, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaResponse {
+  QuotaResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f469534cba7b12d2, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -68,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -330,6 +362,203 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaRequest::Reader {
+public:
+  typedef QuotaRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getSpent() const;
+
+  inline  ::uint32_t getKept() const;
+
+  inline  ::uint32_t getWanted() const;
+
+  inline  ::uint32_t getImmediate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaRequest::Builder {
+public:
+  typedef QuotaRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getSpent();
+  inline void setSpent( ::uint64_t value);
+
+  inline  ::uint32_t getKept();
+  inline void setKept( ::uint32_t value);
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+  inline  ::uint32_t getImmediate();
+  inline void setImmediate( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaRequest::Pipeline {
+public:
+  typedef QuotaRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaResponse::Reader {
+public:
+  typedef QuotaResponse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint32_t getGranted() const;
+
+  inline  ::uint32_t getRetryAfterUs() const;
+
+  inline bool getIsUnavailable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaResponse::Builder {
+public:
+  typedef QuotaResponse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+  inline  ::uint32_t getRetryAfterUs();
+  inline void setRetryAfterUs( ::uint32_t value);
+
+  inline bool getIsUnavailable();
+  inline void setIsUnavailable(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaResponse::Pipeline {
+public:
+  typedef QuotaResponse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -367,6 +596,14 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline  ::uint64_t getQuotaHolder() const;
+
+  inline bool hasQuotaRequests() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Reader getQuotaRequests() const;
+
+  inline bool hasQuotaResponses() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Reader getQuotaResponses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -440,6 +677,23 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline  ::uint64_t getQuotaHolder();
+  inline void setQuotaHolder( ::uint64_t value);
+
+  inline bool hasQuotaRequests();
+  inline  ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Builder getQuotaRequests();
+  inline void setQuotaRequests( ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Builder initQuotaRequests(unsigned int size);
+  inline void adoptQuotaRequests(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>> disownQuotaRequests();
+
+  inline bool hasQuotaResponses();
+  inline  ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Builder getQuotaResponses();
+  inline void setQuotaResponses( ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Builder initQuotaResponses(unsigned int size);
+  inline void adoptQuotaResponses(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>> disownQuotaResponses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1014,6 +1268,160 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t QuotaRequest::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaRequest::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaRequest::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaRequest::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaRequest::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaRequest::Reader::getSpent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaRequest::Builder::getSpent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaRequest::Builder::setSpent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaRequest::Reader::getKept() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaRequest::Builder::getKept() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void QuotaRequest::Builder::setKept( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaRequest::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaRequest::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void QuotaRequest::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaRequest::Reader::getImmediate() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaRequest::Builder::getImmediate() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void QuotaRequest::Builder::setImmediate( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaResponse::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaResponse::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaResponse::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaResponse::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaResponse::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaResponse::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaResponse::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaResponse::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaResponse::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaResponse::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaResponse::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QuotaResponse::Builder::setRetryAfterUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaResponse::Reader::getIsUnavailable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaResponse::Builder::getIsUnavailable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void QuotaResponse::Builder::setIsUnavailable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1232,6 +1640,88 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Datagram::Reader::getQuotaHolder() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getQuotaHolder() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setQuotaHolder( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::hasQuotaRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasQuotaRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getQuotaRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getQuotaRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setQuotaRequests( ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initQuotaRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptQuotaRequests(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownQuotaRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::hasQuotaResponses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasQuotaResponses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getQuotaResponses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getQuotaResponses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setQuotaResponses( ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initQuotaResponses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptQuotaResponses(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownQuotaResponses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::QuotaResponse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool ObjectChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -46,6 +46,37 @@
   }
 }
 
+static void writeQuota(datagram::Datagram::Builder Root,
+                       const peer_datagram &Datagram) {
+  Root.setQuotaHolder(Datagram.QuotaHolder);
+  if (!Datagram.QuotaRequests.empty()) {
+    auto Requests = Root.initQuotaRequests(
+        static_cast<unsigned>(Datagram.QuotaRequests.size()));
+    for (unsigned Index = 0; Index < Requests.size(); ++Index) {
+      const quota_request &Request = Datagram.QuotaRequests[Index];
+      Requests[Index].setAccount(Request.Account);
+      Requests[Index].setSequence(Request.Sequence);
+      Requests[Index].setSpent(Request.Spent);
+      Requests[Index].setKept(Request.Kept);
+      Requests[Index].setWanted(Request.Wanted);
+      Requests[Index].setImmediate(Request.Immediate);
+    }
+  }
+  if (Datagram.QuotaResponses.empty())
+    return;
+  auto Responses = Root.initQuotaResponses(
+      static_cast<unsigned>(Datagram.QuotaResponses.size()));
+  for (unsigned Index = 0; Index < Responses.size(); ++Index) {
+    const quota_response &Response = Datagram.QuotaResponses[Index];
+    Responses[Index].setAccount(Response.Account);
+    Responses[Index].setSequence(Response.Sequence);
+    Responses[Index].setGranted(Response.Granted);
+    Responses[Index].setRetryAfterUs(
+        static_cast<std::uint32_t>(Response.RetryAfter.count()));
+    Responses[Index].setIsUnavailable(Response.IsUnavailable);
+  }
+}
+
 std::string encodeDatagram(const peer_datagram &Datagram) {
   capnp::MallocMessageBuilder Builder;
   auto Root = Builder.initRoot<datagram::Datagram>();
@@ -63,6 +94,7 @@
     Beliefs[Index].setCounter(Update.Incarnation);
   }
   writeCrashes(Root, Datagram.Crashes);
+  writeQuota(Root, Datagram);
   return toBytes(Builder);
 }
 
@@ -81,6 +113,19 @@
   return Reports;
 }
 
+static void readQuota(datagram::Datagram::Reader Root,
+                      peer_datagram &Datagram) {
+  Datagram.QuotaHolder = Root.getQuotaHolder();
+  for (const auto Request : Root.getQuotaRequests())
+    Datagram.QuotaRequests.push_back(
+        {Request.getAccount(), Request.getSequence(), Request.getSpent(),
+         Request.getKept(), Request.getWanted(), Request.getImmediate()});
+  for (const auto Response : Root.getQuotaResponses())
+    Datagram.QuotaResponses.push_back(
+        {Response.getAccount(), Response.getSequence(), Response.getGranted(),
+         duration(Response.getRetryAfterUs()), Response.getIsUnavailable()});
+}
+
 static std::optional<peer_datagram> read(datagram::Datagram::Reader Root) {
   peer_datagram Datagram;
   const unsigned Kind = Root.getKind();
@@ -100,6 +145,7 @@
                                         Belief.getCounter()});
   }
   Datagram.Crashes = readCrashes(Root);
+  readQuota(Root, Datagram);
   return Datagram;
 }
 
--- a/Libraries/PeerMessages/peer_messages.h
+++ b/Libraries/PeerMessages/peer_messages.h
@@ -6,6 +6,7 @@
 #include "Membership/membership.h"
 #include "ObjectCache/object_cache.h"
 #include "Quarantine/quarantine.h"
+#include "Quota/quota.h"
 
 #include <optional>
 #include <string>
@@ -24,6 +25,11 @@
   membership_message Message;
   /// Reports of the request contents under which servers crashed.
   std::vector<crash_report> Crashes;
+  /// Number of the holder that sends the requests, or that the responses are
+  /// for.
+  std::uint64_t QuotaHolder = 0;
+  std::vector<quota_request> QuotaRequests;
+  std::vector<quota_response> QuotaResponses;
 };
 
 std::string encodeDatagram(const peer_datagram &Datagram);
