--- a/Libraries/EventLoop/event_loop.cpp
+++ b/Libraries/EventLoop/event_loop.cpp
@@ -20,6 +20,14 @@
       std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
+instant event_loop::suspendAwareNow() {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return instant(std::chrono::seconds(Time.tv_sec) +
+                 std::chrono::duration_cast<duration>(
+                     std::chrono::nanoseconds(Time.tv_nsec)));
+}
+
 event_loop::event_loop() : EpollDescriptor(epoll_create1(EPOLL_CLOEXEC)) {
   // The process cannot serve anything without epoll.
   if (EpollDescriptor < 0)
--- a/Libraries/EventLoop/event_loop.h
+++ b/Libraries/EventLoop/event_loop.h
@@ -43,6 +43,10 @@
   /// The monotonic time at which the current iteration of the loop started.
   [[nodiscard]] instant now() const { return Now; }
 
+  /// The present time on a clock that, unlike now(), includes the time during
+  /// which the instance was suspended.
+  [[nodiscard]] static instant suspendAwareNow();
+
   /// Registers \p Descriptor until unwatch(). Returns false if the kernel
   /// rejects the registration.
   [[nodiscard]] bool watch(int Descriptor, io_handler &Handler);
--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -26,6 +26,13 @@
   Reader.readDuration("repeat_window", Bounds.RetryWindow, milliseconds(100),
                       seconds(600));
   Reader.readReal("repeat_slack", Bounds.RetrySlack, 0, 1e6);
+  Reader.readDuration("quota_window", Bounds.QuotaWindow, milliseconds(100),
+                      seconds(3'600));
+  Reader.readReal("quota_overshoot", Bounds.QuotaOvershoot, 0, 10);
+  Reader.readReal("quota_slack", Bounds.QuotaSlack, 0, 1e6);
+  Reader.readFlag("strict_revocation", Bounds.RefusesUnconfirmedKeys);
+  Reader.readDuration("revocation", Bounds.RevocationTime, milliseconds(100),
+                      seconds(3'600));
   Reader.readDuration("grace_period", Bounds.GracePeriod, milliseconds(500),
                       seconds(3'600));
   Reader.readDuration("lookup_ttl", Bounds.LookupTimeToLive, milliseconds(100),
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -32,6 +32,15 @@
   double RetryRatio = 0.1;
   duration RetryWindow = std::chrono::seconds(10);
   double RetrySlack = 0;
+  /// How far client accounts may exceed their limits: in any window no more
+  /// than (rate x window + burst) x (1 + overshoot) + slack requests.
+  duration QuotaWindow = std::chrono::seconds(5);
+  double QuotaOvershoot = 0.1;
+  double QuotaSlack = 0;
+  /// Whether requests with API keys are refused when the configuration may be
+  /// older than RevocationTime; otherwise the last known one stays in force.
+  bool RefusesUnconfirmedKeys = false;
+  duration RevocationTime = std::chrono::seconds(5);
   /// Time from SIGTERM until the process is killed.
   duration GracePeriod = std::chrono::seconds(6);
   /// Maximum time callers cache a look-up's response.
--- a/Libraries/RequestTrace/causes.cpp
+++ b/Libraries/RequestTrace/causes.cpp
@@ -22,6 +22,34 @@
                      : cat(" (load report ", formatMilliseconds(Age), " old)"));
 }
 
+/// Describes refusals that concern the caller's account.
+static std::string describeAccountRefusal(const log_line &Line) {
+  const std::string Reason = Line.text("why");
+  const std::string Account = Line.text("account");
+  if (Reason == "no_account")
+    return Line.text("key").empty()
+               ? "rejected: it had no API key, or more than one"
+               : cat("rejected: no account holds its API key, ",
+                     Line.text("key"), ", in version ", Line.number("version"));
+  if (Reason == "over_limit")
+    return cat("rejected: over its limit, account ", Account, " may send ",
+               Line.decimal("limit"), " requests/s; ",
+               Line.decimal("demand_here"),
+               " requests/s came to this node, and none of ",
+               Line.number("pools"), " pools had a token");
+  if (Reason == "limit_unknown")
+    return cat("refused: no coordinator of the limit of account ", Account,
+               " responded");
+  if (Reason == "no_common_region")
+    return cat("refused: homes exclude each other, account ", Account,
+               " may only be served in ", Line.text("account_regions"),
+               ", its route only elsewhere");
+  if (Reason == "keys_unconfirmed")
+    return "refused: the configuration may have been outdated, and strict "
+           "revocation is set";
+  return cat("refused: ", Reason);
+}
+
 static std::string describeRefusal(const log_line &Line) {
   const std::string Reason = Line.text("why");
   if (Reason == "no_room") {
@@ -52,7 +80,7 @@
   if (Reason == "leaving")
     return "refused: the node was shutting down and could not have completed "
            "it in time";
-  return cat("refused: ", Reason);
+  return describeAccountRefusal(Line);
 }
 
 static std::string describeOutcome(const log_line &Line) {
@@ -90,12 +118,16 @@
 }
 
 /// Adds the state of the node that may have influenced the outcome.
-static void addNodeCauses(const node_context &Node,
+static void addNodeCauses(const node_context &Node, const std::string &Key,
                           std::vector<std::string> &Causes) {
   if (Node.StoreIsUnreachable)
     Causes.push_back(cat(Node.Instance, " had lost contact with the store"));
   if (Node.IsShuttingDown)
     Causes.push_back(cat(Node.Instance, " was shutting down"));
+  for (const log_line &Line : Node.RevocationLines)
+    if (Line.text("key") == Key)
+      Causes.push_back(cat("key ", Key, " of account ", Line.text("account"),
+                           " was revoked in version ", Line.number("version")));
   for (const std::string &Domain : Node.EvacuatedDomains)
     Causes.push_back(cat(Node.Instance, " sent no requests to ", Domain,
                          ", which was evacuated"));
@@ -110,6 +142,10 @@
 
 std::vector<std::string> findCauses(const request_trace &Trace) {
   std::vector<std::string> Causes;
+  std::string Key;
+  for (const log_line &Step : Trace.Steps)
+    if (Step.Event == "refused" && !Step.text("key").empty())
+      Key = Step.text("key");
   for (auto Line = Trace.Steps.rbegin(); Line != Trace.Steps.rend(); ++Line)
     if (std::string Outcome = describeOutcome(*Line); !Outcome.empty()) {
       Causes.push_back(std::move(Outcome));
@@ -122,7 +158,7 @@
     if (WasKilled)
       Causes.push_back(cat("the process of ", Node.Instance,
                            " was killed or crashed and was restarted"));
-    addNodeCauses(Node, Causes);
+    addNodeCauses(Node, Key, Causes);
   }
   return Causes;
 }
--- a/Libraries/RequestTrace/request_trace.cpp
+++ b/Libraries/RequestTrace/request_trace.cpp
@@ -1,7 +1,10 @@
 #include "RequestTrace/request_trace.h"
 
+#include "Text/text.h"
+
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <set>
 
 namespace amaranthhoist {
@@ -23,6 +26,13 @@
                                                      : std::string();
 }
 
+std::string log_line::decimal(std::string_view Name) const {
+  const auto Found = Fields.find(Name);
+  if (Found == Fields.end() || !Found->is_number())
+    return "?";
+  return cat(std::round(Found->get<double>() * 10) / 10);
+}
+
 std::int64_t log_line::number(std::string_view Name) const {
   auto Found = Fields.find(Name);
   return Found != Fields.end() && Found->is_number()
@@ -137,6 +147,9 @@
     const std::int64_t OffsetUs = Line.SteadyUs - RequestUs;
     if (OffsetUs <= 0)
       applyStateChange(Node, Line, RequestUs);
+    // A key may also be revoked while its request waits.
+    if (Line.Event == "key_revoked" && Line.SteadyUs <= Step->SteadyUs)
+      Node.RevocationLines.push_back(Line);
     if (Servers.contains(Line.text("server")) &&
         OffsetUs > -ServerLinesBeforeUs && OffsetUs < ServerLinesAfterUs)
       Node.ServerLines.push_back(Line);
--- a/Libraries/RequestTrace/request_trace.h
+++ b/Libraries/RequestTrace/request_trace.h
@@ -32,6 +32,8 @@
   /// that type.
   [[nodiscard]] std::string text(std::string_view Name) const;
   [[nodiscard]] std::int64_t number(std::string_view Name) const;
+  /// The field as a number with at most one decimal; "?" if it is absent.
+  [[nodiscard]] std::string decimal(std::string_view Name) const;
 };
 
 /// Collects log lines: those of one request, and those about the state of nodes
@@ -77,6 +79,8 @@
   /// Lines about the servers of this request, from shortly before it to shortly
   /// after it.
   std::vector<log_line> ServerLines;
+  /// Lines about API keys that a configuration revoked.
+  std::vector<log_line> RevocationLines;
   /// Lines that show that the process stopped or was restarted while the
   /// request ran.
   std::vector<log_line> ProcessLines;
--- a/Libraries/Settings/section_reader.h
+++ b/Libraries/Settings/section_reader.h
@@ -78,6 +78,17 @@
     Value = Number;
   }
 
+  void readFlag(const char *Field, bool &Value) {
+    std::string Text;
+    if (!readScalar(Field, Text, false))
+      return;
+    if (Text != "true" && Text != "false") {
+      fault(Field, "must be true or false");
+      return;
+    }
+    Value = Text == "true";
+  }
+
   void readNames(const char *Field, std::vector<std::string> &Values,
                  bool Required) {
     const YAML::Node Child = child(Field);
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -215,14 +215,19 @@
   Request.Target = Head.target();
   Request.Host = Head.find("host").value_or("");
   Request.ObjectKey = Head.find(Wire.ObjectKey).value_or("");
+  if (Head.count(Wire.ApiKey) == 1)
+    Request.ApiKey = *Head.find(Wire.ApiKey);
   Request.TimeLeft = timeLeft(Head, Wire.TimeLeft);
   Request.ArrivedAt = RequestStartedAt;
   Request.HasBody = Head.find("content-length").has_value() ||
                     Head.find("transfer-encoding").has_value();
   for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
     const auto Field = Head.fieldAt(Index);
-    // Fields that this node sets itself must not come from a caller.
-    const bool IsOurs = equalsIgnoringCase(Field.Name, Wire.TimeLeft) ||
+    // Fields that this node sets itself must not come from a caller, and the
+    // caller's secret is for this node alone.
+    const bool IsOurs = equalsIgnoringCase(Field.Name, Wire.ApiKey) ||
+                        equalsIgnoringCase(Field.Name, Wire.Account) ||
+                        equalsIgnoringCase(Field.Name, Wire.TimeLeft) ||
                         equalsIgnoringCase(Field.Name, Wire.ExpectedTarget) ||
                         equalsIgnoringCase(Field.Name, "content-length") ||
                         equalsIgnoringCase(Field.Name, "expect");
@@ -231,9 +236,11 @@
       appendField(Request.Fields, Field.Name, Field.Value);
   }
   Request.Body = std::move(Reader.body());
-  Request.Content = contentHash(
-      {Request.Method, Request.Host, Request.Target, Request.ObjectKey,
-       Head.find("authorization").value_or(""), Request.Body});
+  const client_account *Account = findAccount(Node.Steering, Request.ApiKey);
+  Request.Content =
+      contentHash({Request.Method, Request.Host, Request.Target,
+                   Request.ObjectKey, Head.find("authorization").value_or(""),
+                   Request.Body, Account ? Account->Name : std::string_view()});
   return Request;
 }
 
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -14,6 +14,8 @@
 /// Upper bound of a server's Retry-After, so that a wrong value does not
 /// exclude the server for the rest of its lifetime.
 static constexpr duration MaxRetryAfter = std::chrono::hours(1);
+/// Time between the check of an API key and the request's arrival at a server.
+static constexpr duration RevocationMargin = std::chrono::milliseconds(500);
 /// Interval at which a request that arrives during bootstrap is tried again:
 /// short compared to the latency objectives, and few wake-ups while the lists
 /// are fetched.
@@ -29,6 +31,7 @@
   Node.Loop.cancel(DeadlineTimer);
   Node.Loop.cancel(ConnectTimer);
   Node.Loop.cancel(BootstrapTimer);
+  releaseToken();
   if (Target)
     recordResult(Node.Steering.Targets, *Target, attempt_result::Cancelled,
                  duration::zero(), Node.Loop.now());
@@ -52,9 +55,9 @@
 }
 
 void exchange::planAndSend() {
-  const request_facts Facts{Request.Host,   Request.path(),   Request.ObjectKey,
-                            Request.Id,     Request.TimeLeft, Request.ArrivedAt,
-                            Request.Content};
+  const request_facts Facts{
+      Request.Host,     Request.path(),    Request.ObjectKey, Request.Id,
+      Request.TimeLeft, Request.ArrivedAt, Request.Content,   Request.ApiKey};
   auto Planned = planRequest(Node.Steering, Facts);
   if (!Planned) {
     refuse(Planned.error());
@@ -62,19 +65,81 @@
   }
   Plan = std::move(*Planned);
   HasPlan = true;
+  if (!Plan.Account.empty() && keysAreUnconfirmed()) {
+    refuse(refusal::KeysUnconfirmed);
+    return;
+  }
+  UsesToken = !Plan.Account.empty() && Node.Quotas->isLimited(Plan.Account);
   DeadlineTimer =
       Node.Loop.runAfter(Plan.Deadline - Node.Loop.now() + DeadlineGrace,
                          [this] { onDeadline(); });
   attemptNext();
 }
 
+bool exchange::keysAreUnconfirmed() const {
+  const node_bounds &Bounds = Node.Settings.Bounds;
+  return Bounds.RefusesUnconfirmedKeys &&
+         Node.StateAge() >= Bounds.RevocationTime - RevocationMargin;
+}
+
+bool exchange::confirmCaller() {
+  const auto Refused = confirmAccount(Node.Steering, Plan);
+  if (!Refused)
+    return true;
+  if (Plan.MayHaveRun)
+    giveUp(502, toString(*Refused));
+  else
+    refuse(*Refused);
+  return false;
+}
+
 void exchange::attemptNext() {
+  if (!confirmCaller())
+    return;
   auto Chosen = chooseTarget(Node.Steering, Plan, Node.Loop.now());
   if (!Chosen) {
     refuse(Chosen.error());
     return;
   }
-  startAttempt(**Chosen);
+  if (acquireQuota())
+    startAttempt(**Chosen);
+}
+
+bool exchange::acquireQuota() {
+  if (!UsesToken || HoldsToken)
+    return true;
+  const quota_verdict Verdict = Node.Quotas->acquire(Plan.Account, *this);
+  HoldsToken = Verdict == quota_verdict::Granted;
+  WaitsForToken = Verdict == quota_verdict::Pending;
+  if (!HoldsToken && !WaitsForToken)
+    onQuotaVerdict(Verdict);
+  return HoldsToken;
+}
+
+bool exchange::acquireRetryQuota() {
+  if (UsesToken && !HoldsToken)
+    HoldsToken = Node.Quotas->acquireHeld(Plan.Account);
+  return !UsesToken || HoldsToken;
+}
+
+void exchange::onQuotaVerdict(quota_verdict Verdict) {
+  WaitsForToken = false;
+  if (Verdict == quota_verdict::Granted) {
+    HoldsToken = true;
+    attemptNext();
+    return;
+  }
+  refuse(Verdict == quota_verdict::Exhausted ? refusal::OverLimit
+                                             : refusal::LimitUnknown);
+}
+
+void exchange::releaseToken() {
+  if (WaitsForToken)
+    Node.Quotas->cancel(*this);
+  if (HoldsToken)
+    Node.Quotas->giveBack(Plan.Account);
+  WaitsForToken = false;
+  HoldsToken = false;
 }
 
 std::string exchange::encodeRequest(const target &Target) const {
@@ -86,6 +151,8 @@
   appendField(Text, Node.Wire.TimeLeft,
               cat(std::max<std::int64_t>(1, Left.count() / 1'000)));
   appendField(Text, Node.Wire.ExpectedTarget, Target.Entry.Id);
+  if (!Plan.Account.empty())
+    appendField(Text, Node.Wire.Account, Plan.Account);
   if (Request.HasBody)
     appendField(Text, "Content-Length", cat(Request.Body.size()));
   append(Text, "\r\n", Request.Body);
@@ -94,6 +161,7 @@
 
 void exchange::startAttempt(target &Chosen) {
   Target = &Chosen;
+  HoldsToken = false;
   AttemptStartedAt = Node.Loop.now();
   HasResponseHead = false;
   ServerDidNotRun = false;
@@ -225,6 +293,7 @@
     dropConnection();
   Node.Loop.cancel(ConnectTimer);
   if (ServerDidNotRun) {
+    keepToken();
     Plan.TriedTargets.push_back(Target->Entry.Id);
     finishAttempt(WasReplaced ? attempt_result::Replaced
                               : attempt_result::Shed);
@@ -242,8 +311,9 @@
   if (ServerFailed && Caller && !IsStreaming &&
       Plan.Class == work_class::Idempotent) {
     Plan.TriedTargets.push_back(Id);
-    if (chooseTarget(Node.Steering, Plan, Node.Loop.now()) &&
-        mayRetry(Node.Steering, Plan, Node.Loop.now())) {
+    if (confirmAccount(Node.Steering, Plan) == std::nullopt &&
+        chooseTarget(Node.Steering, Plan, Node.Loop.now()) &&
+        acquireRetryQuota() && mayRetry(Node.Steering, Plan, Node.Loop.now())) {
       log(log_kind::RequestFailure, "repeat", "server_error", Status);
       BufferedBody.clear();
       attemptNext();
@@ -266,6 +336,8 @@
     ++Plan.DeliveredAttempts;
     Plan.MayHaveRun = true;
     Pool.onConnectionBroken(*Target, Request.Content);
+  } else {
+    keepToken();
   }
   finishAttempt(Result);
   if (Result != attempt_result::Cancelled)
@@ -285,17 +357,20 @@
     return;
   }
   BufferedBody.clear();
+  if (!confirmCaller())
+    return;
   const instant Now = Node.Loop.now();
   const bool TooManyUnreachable =
       Plan.Attempts - Plan.DeliveredAttempts >= MaxUnreachableTargets;
   auto Chosen = chooseTarget(Node.Steering, Plan, Now);
-  if (Chosen && !TooManyUnreachable && mayRetry(Node.Steering, Plan, Now)) {
+  if (Chosen && !TooManyUnreachable && acquireRetryQuota() &&
+      mayRetry(Node.Steering, Plan, Now)) {
     log(log_kind::RequestFailure, "repeat", "attempt_failed", 0);
     startAttempt(**Chosen);
     return;
   }
   if (Plan.MayHaveRun) {
-    respondLocally(502, std::nullopt, "attempt_failed");
+    giveUp(502, "attempt_failed");
     return;
   }
   refuse(Chosen ? refusal::RetryBudgetExhausted : Chosen.error());
@@ -320,7 +395,7 @@
     return;
   }
   if (MayHaveRun)
-    respondLocally(504, std::nullopt, "deadline");
+    giveUp(504, "deadline");
   else
     refuse(refusal::TooLate);
 }
@@ -347,6 +422,7 @@
 }
 
 void exchange::finish() {
+  releaseToken();
   Node.Loop.cancel(DeadlineTimer);
   Node.Loop.cancel(ConnectTimer);
   if (OnDone)
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -4,6 +4,7 @@
 
 #include "HttpConnection/client_connection.h"
 #include "node.h"
+#include "quota_link.h"
 #include "target_pool.h"
 
 #include <absl/container/inlined_vector.h>
@@ -23,6 +24,9 @@
   std::string Target;
   std::string Host;
   std::string ObjectKey;
+  /// The caller's secret; empty unless exactly one was sent. Never forwarded
+  /// and never logged.
+  std::string ApiKey;
   /// The forwarded header fields, each with its line end.
   std::string Fields;
   std::string Body;
@@ -62,7 +66,7 @@
 /// Name of an attempt's result in logs.
 std::string_view toString(attempt_result Result);
 
-class exchange : public retirable, private call_owner {
+class exchange : public retirable, private call_owner, private quota_waiter {
 public:
   exchange(node &Node, target_pool &Pool, exchange_caller &Caller,
            caller_request Request);
@@ -88,10 +92,24 @@
   void onBody(std::string &Body) override;
   void onComplete() override;
   void onFailure(const call_failure &Failure) override;
+  void onQuotaVerdict(quota_verdict Verdict) override;
 
   /// Finds the request's route and sends it.
   void planAndSend();
   void attemptNext();
+  /// Refuses the request if its account is no longer valid. Returns whether the
+  /// request may be sent.
+  bool confirmCaller();
+  /// Whether keys must be refused because the configuration may be outdated.
+  [[nodiscard]] bool keysAreUnconfirmed() const;
+  /// Returns whether the account's limit permits the request now. Otherwise it
+  /// waits for the verdict, or is refused.
+  bool acquireQuota();
+  /// Like acquireQuota() for a retry, which doesn't wait and isn't refused.
+  bool acquireRetryQuota();
+  /// The attempt in flight has not run, so another may use its token.
+  void keepToken() { HoldsToken = UsesToken; }
+  void releaseToken();
   void startAttempt(target &Target);
   std::string encodeRequest(const target &Target) const;
   void finishAttempt(attempt_result Result);
@@ -108,9 +126,13 @@
   void beginStreaming();
   void finishResponse();
   void refuse(refusal Reason);
-  void respondLocally(int Status, std::optional<duration> RetryAfter,
-                      std::string_view Why);
+  /// Responds to a request that may have run and whose result is not known.
+  void giveUp(int Status, std::string_view Why);
+  void sendOwnResponse(int Status, std::optional<duration> RetryAfter,
+                       std::string_view Why);
   void finish();
+  /// The account in metrics, or the host for requests without one.
+  const std::string &customerName() const;
   /// Fields of a request's final log line, with room for those of a refusal.
   using log_fields = absl::InlinedVector<log_entry, 20>;
   /// \p AttemptsText is the result of describeAttempts() and must outlive the
@@ -120,6 +142,9 @@
   void log(log_kind Kind, std::string_view Event, std::string_view Why,
            int Status);
   void logRefusal(std::string_view Why, int Status, duration RetryAfter);
+  /// Logs a refusal that concerns the caller's account: which one, or what
+  /// identifies its unknown key, its limit and what of it is held here.
+  void logAccountRefusal(refusal Reason, int Status, duration RetryAfter);
   /// Describes all attempts: server, send time, result, duration. Part of the
   /// final log line of a request, because the lines for single attempts are
   /// sampled.
@@ -133,6 +158,11 @@
   const std::string ContentName;
   request_plan Plan;
   bool HasPlan = false;
+  /// Whether the account has a limit.
+  bool UsesToken = false;
+  /// A token was acquired, and no attempt that may have run has used it.
+  bool HoldsToken = false;
+  bool WaitsForToken = false;
   timer_id DeadlineTimer = 0;
   timer_id ConnectTimer = 0;
   timer_id BootstrapTimer = 0;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -89,7 +89,7 @@
   }
   const duration Elapsed = Node.Loop.now() - Request.ArrivedAt;
   Node.Metrics.observeLatency(
-      {Request.Host, Plan.Service, Status < 500 ? "answered" : "failed"},
+      {customerName(), Plan.Service, Status < 500 ? "answered" : "failed"},
       Elapsed);
   log(Status < 500 ? log_kind::Success : log_kind::RequestFailure, "answered",
       "server", Status);
@@ -98,20 +98,55 @@
   finish();
 }
 
+const std::string &exchange::customerName() const {
+  return Plan.Account.empty() ? Request.Host : Plan.Account;
+}
+
 static int statusOf(refusal Reason) {
-  return Reason == refusal::NoRoute ? 404 : 503;
+  switch (Reason) {
+  case refusal::NoRoute:
+    return 404;
+  case refusal::NoAccount:
+    return 401;
+  case refusal::OverLimit:
+    return 429;
+  default:
+    return 503;
+  }
+}
+
+static bool concernsAccount(refusal Reason) {
+  switch (Reason) {
+  case refusal::NoAccount:
+  case refusal::NoCommonRegion:
+  case refusal::OverLimit:
+  case refusal::LimitUnknown:
+  case refusal::KeysUnconfirmed:
+    return true;
+  default:
+    return false;
+  }
 }
 
 void exchange::refuse(refusal Reason) {
   std::optional<duration> Return;
-  if (Reason != refusal::NoRoute) {
+  const int OwnStatus = statusOf(Reason);
+  if (OwnStatus == 503 || OwnStatus == 429) {
     if (!HasPlan)
       Plan.Deadline =
           Node.Loop.now() + Request.TimeLeft.value_or(std::chrono::seconds(1));
     Return =
         retryAfter(Node.Steering, Plan, Reason, Request.Id, Node.Loop.now());
   }
-  respondLocally(statusOf(Reason), Return, toString(Reason));
+  if (Reason == refusal::OverLimit)
+    Return = *Return + Node.Quotas->retryAfter(Plan.Account);
+  if (concernsAccount(Reason))
+    logAccountRefusal(Reason, OwnStatus, Return.value_or(duration::zero()));
+  else if (OwnStatus == 503)
+    logRefusal(toString(Reason), OwnStatus, *Return);
+  else
+    log(log_kind::RequestFailure, "gave_up", toString(Reason), OwnStatus);
+  sendOwnResponse(OwnStatus, Return, toString(Reason));
 }
 
 /// Formats a duration in seconds with at most three decimals.
@@ -120,13 +155,15 @@
   return cat(static_cast<double>(Milliseconds) / 1e3);
 }
 
-void exchange::respondLocally(int OwnStatus, std::optional<duration> RetryAfter,
-                              std::string_view Why) {
-  if (OwnStatus == 503)
-    logRefusal(Why, OwnStatus, RetryAfter.value_or(duration::zero()));
-  else
-    log(log_kind::RequestFailure, "gave_up", Why, OwnStatus);
-  Node.Metrics.observeLatency({Request.Host, Plan.Service, std::string(Why)},
+void exchange::giveUp(int OwnStatus, std::string_view Why) {
+  log(log_kind::RequestFailure, "gave_up", Why, OwnStatus);
+  sendOwnResponse(OwnStatus, std::nullopt, Why);
+}
+
+void exchange::sendOwnResponse(int OwnStatus,
+                               std::optional<duration> RetryAfter,
+                               std::string_view Why) {
+  Node.Metrics.observeLatency({customerName(), Plan.Service, std::string(Why)},
                               Node.Loop.now() - Request.ArrivedAt);
   if (Caller) {
     std::string Fields;
--- a/Services/Node/exchange_log.cpp
+++ b/Services/Node/exchange_log.cpp
@@ -104,6 +104,44 @@
   Node.Log.write(log_kind::RequestFailure, "refused", Fields, Now);
 }
 
+static std::string joined(std::span<const std::string> Names) {
+  std::string Text;
+  for (const std::string &Name : Names)
+    append(Text, Text.empty() ? "" : ",", Name);
+  return Text;
+}
+
+void exchange::logAccountRefusal(refusal Reason, int WithStatus,
+                                 duration RetryAfter) {
+  const instant Now = Node.Loop.now();
+  if (!Node.Log.admitsLine(log_kind::RequestFailure, Now))
+    return;
+  const client_account *Account = findAccount(Node.Steering, Request.ApiKey);
+  const std::string Key = Account || Request.ApiKey.empty()
+                              ? std::string()
+                              : keyName(digestOf(Request.ApiKey));
+  const std::string AttemptsText = describeAttempts();
+  log_fields Fields = summaryFields(toString(Reason), WithStatus, AttemptsText);
+  Fields.push_back({"account", Account ? std::string_view(Account->Name)
+                                       : std::string_view()});
+  Fields.push_back({"key", Key});
+  const std::string Homes =
+      Account ? joined(Account->HomeRegions) : std::string();
+  if (Reason == refusal::NoCommonRegion)
+    Fields.push_back({"account_regions", Homes});
+  if (Reason == refusal::OverLimit || Reason == refusal::LimitUnknown) {
+    const quota_view View = Node.Quotas->view(Plan.Account);
+    Fields.insert(Fields.end(),
+                  {{"limit", View.Limit.RequestsPerSecond},
+                   {"burst", View.Limit.Burst},
+                   {"demand_here", View.Demand},
+                   {"tokens", static_cast<std::int64_t>(View.Tokens)},
+                   {"pools", static_cast<std::int64_t>(View.Pools)},
+                   {"retry_after_us", inMicroseconds(RetryAfter)}});
+  }
+  Node.Log.write(log_kind::RequestFailure, "refused", Fields, Now);
+}
+
 void exchange::logAborted() {
   log(log_kind::RequestFailure, Caller ? "answer_cut" : "left_running",
       "process_ended", Status);
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -7,6 +7,7 @@
 #include "names.h"
 #include "node.h"
 #include "peer_link.h"
+#include "quota_link.h"
 #include "retry_budget_log.h"
 #include "status.h"
 #include "store_sync.h"
@@ -55,7 +56,12 @@
               [this](const auto &Address) { Peers.announceState(Address); }),
         Peers(
             Node,
-            [this](const auto &Control) { Store.onSourceAnnounced(Control); }),
+            [this](const auto &Control) { Store.onSourceAnnounced(Control); },
+            [this](const auto &Datagram) { Quotas.handleDatagram(Datagram); }),
+        Quotas(Node,
+               [this](const auto &To, auto Datagram) {
+                 Peers.sendQuota(To, std::move(Datagram));
+               }),
         PeerServer(Node.Loop,
                    [this](auto Path, auto Query) {
                      return handlePeerQuery(Path, Query);
@@ -87,6 +93,8 @@
     TRY(PeerServer.listen(TRY(parseEndpoint(Settings.Listen.Control))));
     listenForMetrics();
     TRY(watchSignals());
+    Node.Quotas = &Quotas;
+    Node.StateAge = [this] { return Store.status().Age; };
     Store.start();
     Node.Loop.atEndOfIteration(
         [this] { Node.Fleet.OwnIsReady = Node.isReady(); });
@@ -228,6 +236,7 @@
   caller_server Callers;
   store_sync Store;
   peer_link Peers;
+  quota_link Quotas;
   small_server PeerServer;
   small_server Lookups;
   small_server Readiness;
@@ -247,6 +256,7 @@
       platform::ObjectKeyHeader,      platform::SignatureHeader,
       platform::ExpectedTargetHeader, platform::LoadHeader,
       platform::NotRunHeader,         platform::LeavingHeader,
+      platform::ApiKeyHeader,         platform::AccountHeader,
       platform::StoreEraHeader,       platform::decodeLoad};
   node_program Program(std::move(*Settings), Wire, SettingsFile);
   if (auto Started = Program.start(); !Started) {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -37,6 +37,10 @@
   /// The backend server is draining; present in all of its responses from then
   /// on.
   std::string_view Leaving;
+  /// The caller's secret, which identifies its account.
+  std::string_view ApiKey;
+  /// Name of the caller's account; set by the node, for backend servers.
+  std::string_view Account;
   /// In all responses of the store: its era, a number that rises each time it
   /// comes back from an earlier copy.
   std::string_view StoreEra;
@@ -51,6 +55,7 @@
 };
 
 struct node;
+class quota_link;
 
 /// The version of the configuration in force, or 0 if there is none yet.
 std::int64_t configurationVersion(const node &Node);
@@ -73,6 +78,10 @@
   metrics_registry Metrics;
   steering Steering;
   fleet Fleet;
+  /// Set by the program before it serves anything.
+  quota_link *Quotas = nullptr;
+  /// Lower bound of the time since the held state was fresh at the store.
+  std::function<duration()> StateAge;
   /// A full list of every kind of object has been received.
   bool HasFullState = false;
   /// Until this time a node without full state holds requests instead of
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -17,8 +17,10 @@
 static constexpr std::size_t MaxDatagram = 8'192;
 
 peer_link::peer_link(node &Node,
-                     std::function<void(const std::string &)> OnPeerSeen)
-    : Node(Node), OnPeerSeen(std::move(OnPeerSeen)) {
+                     std::function<void(const std::string &)> OnPeerSeen,
+                     std::function<void(const peer_datagram &)> OnQuota)
+    : Node(Node), OnPeerSeen(std::move(OnPeerSeen)),
+      OnQuota(std::move(OnQuota)) {
   Node.Fleet.Membership.Policy.ProbePeriod = std::chrono::milliseconds(500);
   Node.Fleet.Membership.Random.seed(stableHash(Node.Settings.Instance));
   setOwnMembers(Node.Fleet.Membership, {Node.Settings.Instance});
@@ -45,9 +47,26 @@
 
 void peer_link::send(const membership_message &Message,
                      std::vector<crash_report> Crashes, const endpoint &To) {
-  const std::string Bytes =
-      encodeDatagram({Node.Settings.Instance, Node.Settings.Listen.Control,
-                      Message, std::move(Crashes)});
+  peer_datagram Datagram;
+  Datagram.Message = Message;
+  Datagram.Crashes = std::move(Crashes);
+  Datagram.Sender = Node.Settings.Instance;
+  Datagram.Control = Node.Settings.Listen.Control;
+  send(Datagram, To);
+}
+
+void peer_link::sendQuota(const std::string &To, peer_datagram Datagram) {
+  const auto Member = Node.Fleet.Members.find(To);
+  if (Member == Node.Fleet.Members.end())
+    return;
+  Datagram.Sender = Node.Settings.Instance;
+  Datagram.Control = Node.Settings.Listen.Control;
+  if (auto Address = parseEndpoint(Member->second.Peer))
+    send(Datagram, *Address);
+}
+
+void peer_link::send(const peer_datagram &Datagram, const endpoint &To) {
+  const std::string Bytes = encodeDatagram(Datagram);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(To.Port);
@@ -61,7 +80,7 @@
   // A probe without a target requests no response and shows its sender's
   // address.
   if (auto To = parseEndpoint(Address))
-    send({}, *To);
+    send(membership_message{}, *To);
 }
 
 void peer_link::sendAll(std::span<const outgoing_membership_message> Messages) {
@@ -98,6 +117,12 @@
   for (const quarantine_change &Change : applyReports(
            Node.Steering.Quarantine, Datagram->Crashes, Node.Loop.now()))
     logQuarantine(Node, Change);
+  // An instance that shuts down still has requests to send, and pools.
+  if (!Datagram->QuotaRequests.empty() || !Datagram->QuotaResponses.empty()) {
+    if (Node.Steering.Routes)
+      OnQuota(*Datagram);
+    return;
+  }
   if (HasLeft)
     return;
   if (!Node.isReady()) {
@@ -150,7 +175,7 @@
                             const fleet_member &Member) {
   // A probe without a target requests no response.
   if (auto To = parseEndpoint(Member.Peer))
-    send({}, std::move(Crashes), *To);
+    send(membership_message{}, std::move(Crashes), *To);
 }
 
 void peer_link::logMembershipChanges() {
--- a/Services/Node/peer_link.h
+++ b/Services/Node/peer_link.h
@@ -15,13 +15,17 @@
 public:
   /// \p OnPeerSeen is called with the control addresses of instances that send
   /// datagrams while this one is not ready to serve.
-  peer_link(node &Node, std::function<void(const std::string &)> OnPeerSeen);
+  /// \p OnQuota is called with the datagrams about limits of accounts.
+  peer_link(node &Node, std::function<void(const std::string &)> OnPeerSeen,
+            std::function<void(const peer_datagram &)> OnQuota);
   ~peer_link() override;
 
   result<bool> listen(const endpoint &Endpoint);
   /// Notifies the instance that receives datagrams at \p Address, `ip:port`,
   /// that this one has the store's objects.
   void announceState(const std::string &Address);
+  /// Sends requests or responses about limits of accounts to an instance.
+  void sendQuota(const std::string &To, peer_datagram Datagram);
   /// Notifies all other nodes that this node shuts down, and stops sending.
   void leave();
 
@@ -29,6 +33,7 @@
   void onEvent(const io_event &Event) override;
   void handleDatagram(std::string_view Bytes, const endpoint &Source);
   void tick();
+  void send(const peer_datagram &Datagram, const endpoint &To);
   void send(const membership_message &Message, const endpoint &To);
   void send(const membership_message &Message,
             std::vector<crash_report> Crashes, const endpoint &To);
@@ -40,6 +45,7 @@
 
   node &Node;
   std::function<void(const std::string &)> OnPeerSeen;
+  std::function<void(const peer_datagram &)> OnQuota;
   int Descriptor = -1;
   bool HasLeft = false;
   std::set<std::string> LoggedDown;
--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -1,6 +1,7 @@
 #include "replicated_state.h"
 
 #include "codec.h"
+#include "quota_link.h"
 
 #include <algorithm>
 
@@ -192,10 +193,15 @@
   }
   const std::uint64_t Version = Configuration->Version;
   const std::size_t Routes = Configuration->Routes.size();
+  account_directory Former;
+  if (Node.Steering.Routes)
+    Former = Node.Steering.Routes->Accounts;
   const bool IsNew =
       applyConfiguration(Node.Steering, std::move(*Configuration));
-  if (IsNew)
+  if (IsNew) {
     ConfigurationAppliedAt = Node.Loop.now();
+    logRevokedKeys(Former);
+  }
   Node.Log.write(log_kind::ClusterState,
                  IsNew ? "configuration_applied" : "configuration_kept",
                  {{"version", static_cast<std::int64_t>(Version)},
@@ -203,6 +209,17 @@
                  Node.Loop.now());
 }
 
+void replicated_state::logRevokedKeys(const account_directory &Former) {
+  const account_directory &Current = Node.Steering.Routes->Accounts;
+  for (const auto &[Digest, Index] : Former.ByKey)
+    if (!findAccount(Current, Digest))
+      Node.Log.write(log_kind::ClusterState, "key_revoked",
+                     {{"account", Former.Accounts[Index].Name},
+                      {"key", keyName(Digest)},
+                      {"version", configurationVersion(Node)}},
+                     Node.Loop.now());
+}
+
 /// Decodes an entry and checks that its address can be connected to.
 static result<target_entry> decodeServer(const std::string &Text) {
   target_entry Entry = TRY(platform::decodeTarget(Text));
@@ -258,6 +275,11 @@
     else
       logUnreadable(object_kind::Instance, Name, Member.error().Message);
   }
+  std::vector<coordinator_candidate> Candidates;
+  for (const fleet_member &Member : Members)
+    Candidates.push_back(
+        {Member.Name, Member.FailureDomain, Member.Region, Member.Processor});
+  Node.Quotas->onInstances(Candidates);
   setFleet(Node.Fleet, std::move(Members));
   Node.Steering.Instances = instanceHashes(Node.Fleet);
   Node.Log.write(
--- a/Services/Node/replicated_state.h
+++ b/Services/Node/replicated_state.h
@@ -42,6 +42,8 @@
   void beginEra(kind_changes &Changes, const text_set &RemovedBefore);
   void applyDeferred();
   void applyConfigurationText(const std::string &Text);
+  /// Logs which keys of \p Former the configuration in force lacks.
+  void logRevokedKeys(const account_directory &Former);
   void applyTarget(const object_change &Change);
   void applyEvacuation(const object_change &Change);
   void applyInstances();
--- a/Services/Node/status.cpp
+++ b/Services/Node/status.cpp
@@ -1,5 +1,7 @@
 #include "status.h"
 
+#include "quota_link.h"
+
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -26,6 +28,21 @@
   return Now < Target.ColdUntil ? "cold" : "ready";
 }
 
+/// Accounts shown with their limits.
+static constexpr std::size_t MaxAccounts = 20;
+
+static ordered_json encodeLimits(const quota_link &Quotas) {
+  ordered_json Accounts = ordered_json::array();
+  for (const quota_view &View : Quotas.busiest(MaxAccounts))
+    Accounts.push_back({{"account", View.Account},
+                        {"limit", View.Limit.RequestsPerSecond},
+                        {"burst", View.Limit.Burst},
+                        {"demand_here", View.Demand},
+                        {"tokens", View.Tokens},
+                        {"pools", View.Pools}});
+  return Accounts;
+}
+
 std::string encodeStatus(const node &Node, const store_sync &Store) {
   const instant Now = Node.Loop.now();
   const target_directory &Directory = Node.Steering.Targets;
@@ -37,6 +54,7 @@
   }
   const auto &Down = downMembers(Node.Fleet.Membership);
   const store_status View = Store.status();
+  const auto &Routes = Node.Steering.Routes;
   return ordered_json{
       {"instance", Node.Settings.Instance},
       {"ready", Node.isReady()},
@@ -52,6 +70,9 @@
       {"servers_usable", Usable},
       {"quarantined", countQuarantined(Node.Steering.Quarantine)},
       {"services", States},
+      {"accounts", Routes ? Routes->Accounts.Accounts.size() : 0},
+      {"pools_coordinated", Node.Quotas->poolsInUse()},
+      {"limits", encodeLimits(*Node.Quotas)},
       {"evacuated", std::vector<std::string>(Directory.EvacuatedDomains.begin(),
                                              Directory.EvacuatedDomains.end())},
       {"peers", Node.Fleet.Members.size()},
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -115,6 +115,7 @@
       makeRoute("/safe/", "safe"),
       makeRoute("/once/", "unsafe"),
       makeRoute("/slow/", "unsafe", "60s"),
+      makeRoute("/open/", "safe"),
       {{"resource_kind", "services"},
        {"metadata", {{"name", "desk"}}},
        {"specification",
@@ -128,6 +129,18 @@
          {"idle_timeout", "15s"}}}}};
   if (HasExtra)
     Resources.push_back(makeRoute("/extra/", "safe"));
+  for (json &Resource : Resources) {
+    if (Resource["resource_kind"] != "routes")
+      continue;
+    json &Route = Resource["specification"];
+    Route["public"] = Route["path_prefix"] == "/open/";
+    if (!RouteRegions.empty())
+      Route["home_regions"] = RouteRegions;
+  }
+  for (const auto &[Name, Specification] : Accounts)
+    Resources.push_back({{"resource_kind", "tenants"},
+                         {"metadata", {{"name", Name}}},
+                         {"specification", Specification}});
   Store.put("config", "main", {{"version", Hex}, {"resources", Resources}});
 }
 
@@ -161,7 +174,9 @@
       "bounds:\n  repeat_ratio: ",
       RetryRatio,
       "\n  repeat_window: 10s\n"
-      "  repeat_slack: 60\n  grace_period: 6s\n  lookup_ttl: 5s\n");
+      "  repeat_slack: 60\n  grace_period: 6s\n  lookup_ttl: 5s\n"
+      "  quota_window: 5s\n  quota_overshoot: 0.1\n  quota_slack: ",
+      QuotaSlack, "\n", Bounds);
   return File;
 }
 
@@ -263,7 +278,7 @@
       cat(Method, " ", Path, " HTTP/1.1\r\nHost: shop.example\r\n",
           "X-Attempt-Id: ", Id,
           "\r\nX-Affinity-Key: ", ObjectKey.empty() ? Id : ObjectKey,
-          "\r\nX-Deadline-Remaining: ", DeadlineMs, "\r\n");
+          "\r\nX-Deadline-Remaining: ", DeadlineMs, "\r\n", Fields);
   if (!Body.empty())
     append(Request, "Content-Length: ", Body.size(), "\r\n");
   append(Request, "\r\n", Body);
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -84,6 +84,16 @@
   int DeadlineMs = 3'000;
   /// Affinity key of all requests; empty: each request uses its own id.
   std::string ObjectKey;
+  /// Further header fields of all requests, each with its line end.
+  std::string Fields;
+  /// Specifications of the configuration's client accounts, by name.
+  std::map<std::string, nlohmann::json> Accounts;
+  /// Home regions of all routes.
+  std::vector<std::string> RouteRegions;
+  /// Requests beyond its limit that an account may make in the window.
+  double QuotaSlack = 20;
+  /// Further lines of the settings' bounds.
+  std::string Bounds;
 
   /// Starts a backend server of service "desk" and lists it in the store.
   target_stand_in &addTarget(const std::string &Id,
@@ -94,8 +104,8 @@
   void listTarget(const target_stand_in &Target, const std::string &Domain,
                   const std::string &State, const std::string &Address = {});
   /// Routes /safe/ (idempotent), /once/ (non-idempotent) and /slow/ (like
-  /// /once/, with a timeout of one minute) to the service, and /extra/ if \p
-  /// HasExtra.
+  /// /once/, with a timeout of one minute) to the service, /open/ (like /safe/,
+  /// public), and /extra/ if \p HasExtra; has the client accounts.
   void putConfiguration(int Version, bool HasExtra = false);
   node_process &addNode(const std::string &Name, const std::string &Domain,
                         const std::string &Region);
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -23,6 +23,7 @@
     return;
   }
   ++Arrivals;
+  KeysReceived += static_cast<int>(Head.count("Api-Key"));
   if (Behavior == behavior::Sheds) {
     std::string Fields =
         cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n");
@@ -36,6 +37,7 @@
     return;
   }
   ++Runs[RequestId];
+  ++RunsByAccount[std::string(Head.find("X-Tenant-Name").value_or(""))];
   InFlight[Connection.Number] = RequestId;
   const std::uint64_t Number = Connection.Number;
   if (!CrashingPath.empty() && Head.target() == CrashingPath) {
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -59,6 +59,10 @@
   std::map<std::string, int> Runs;
   /// Requests whose connection was closed during their execution.
   std::vector<std::string> Abandoned;
+  /// Executions by the account that the node named; "" if it named none.
+  std::map<std::string, int> RunsByAccount;
+  /// Requests that carried an API key: a secret that was passed on.
+  int KeysReceived = 0;
   /// Remaining deadline of the latest request, in milliseconds; -1: none.
   std::int64_t LastDeadlineRemainingMs = -1;
 
--- a/Tests/request_trace_test.cpp
+++ b/Tests/request_trace_test.cpp
@@ -111,3 +111,32 @@
   CHECK(Trace.Steps.empty());
   CHECK(mentions(Trace, "no log line mentions it"));
 }
+
+TEST(RequestTrace, RejectionBeyondTheLimitShowsLimitAndDemand) {
+  const auto Trace = buildTrace(
+      "r1",
+      {StartedLine,
+       R"({"time_ms":2500,"steady_us":1500000,"instance":"n1","event":"refused","request":"r1","why":"over_limit","account":"one","limit":20,"demand_here":7.54,"pools":3})"});
+  CHECK(mentions(Trace, "over its limit, account one may send 20 requests/s"));
+  CHECK(mentions(Trace, "7.5 requests/s came to this node"));
+}
+
+TEST(RequestTrace, RejectedKeyShowsTheVersionThatRevokedIt) {
+  const auto Trace = buildTrace(
+      "r1",
+      {StartedLine,
+       R"({"time_ms":2000,"steady_us":1000000,"instance":"n1","event":"key_revoked","account":"one","key":"0badcafe","version":9})",
+       R"({"time_ms":2000,"steady_us":1000000,"instance":"n1","event":"key_revoked","account":"two","key":"12345678","version":9})",
+       R"({"time_ms":2500,"steady_us":1500000,"instance":"n1","event":"refused","request":"r1","why":"no_account","key":"0badcafe","version":9})"});
+  CHECK(mentions(Trace, "no account holds its API key, 0badcafe"));
+  CHECK(mentions(Trace, "of account one was revoked in version 9"));
+  CHECK_FALSE(mentions(Trace, "account two"));
+}
+
+TEST(RequestTrace, ExclusiveHomesAreNamed) {
+  const auto Trace = buildTrace(
+      "r1",
+      {StartedLine,
+       R"({"time_ms":2500,"steady_us":1500000,"instance":"n1","event":"refused","request":"r1","why":"no_common_region","account":"one","account_regions":"b"})"});
+  CHECK(mentions(Trace, "homes exclude each other, account one"));
+}
