--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -1,5 +1,7 @@
 #include "Steering/steering.h"
 
+#include "Steering/account_plan.h"
+
 #include "Placement/placement.h"
 #include "Placement/region_weights.h"
 
@@ -108,6 +110,8 @@
   for (const client_account &Account : Configuration.Accounts)
     Steering.LeastUrgentPriority =
         std::max(Steering.LeastUrgentPriority, Account.Priority.value_or(0));
+  Steering.ExpectedHomeShares =
+      expectedHomeShares(Steering, Configuration.Accounts);
   Steering.Routes = makeRouteTable(std::move(Configuration));
   return true;
 }
@@ -139,70 +143,6 @@
   return stableHash(Key, stableHash(Route.PathPrefix, stableHash(Route.Host)));
 }
 
-const client_account *findAccount(const steering &Steering,
-                                  std::string_view ApiKey) {
-  return Steering.Routes ? findAccount(Steering.Routes->Accounts, ApiKey)
-                         : nullptr;
-}
-
-/// The regions in both lists, of which an empty one means all; none if they
-/// have no region in common.
-static std::optional<std::vector<std::string>>
-commonRegions(const std::vector<std::string> &Left,
-              const std::vector<std::string> &Right) {
-  if (Left.empty() || Right.empty())
-    return Left.empty() ? Right : Left;
-  std::vector<std::string> Common;
-  for (const std::string &Region : Left)
-    if (isHomeRegion(Right, Region))
-      Common.push_back(Region);
-  if (Common.empty())
-    return std::nullopt;
-  return Common;
-}
-
-/// Whether requests of \p Route need an API key.
-static bool needsAccount(const route_table &Table, const route &Route) {
-  return !Route.IsPublic && !Table.Accounts.Accounts.empty();
-}
-
-/// Identifies the caller and applies what its account states. Returns why the
-/// request is refused, or nullopt.
-static std::optional<refusal> applyAccount(const route_table &Table,
-                                           const route &Route,
-                                           std::string_view ApiKey,
-                                           request_plan &Plan) {
-  Plan.Version = Table.Configuration.Version;
-  Plan.HomeRegions = Route.HomeRegions;
-  if (!needsAccount(Table, Route))
-    return std::nullopt;
-  const client_account *Account = findAccount(Table.Accounts, ApiKey);
-  if (!Account)
-    return refusal::NoAccount;
-  Plan.Account = Account->Name;
-  Plan.KeyDigest = digestOf(ApiKey);
-  Plan.Priority = Account->Priority.value_or(Plan.Priority);
-  auto Regions = commonRegions(Route.HomeRegions, Account->HomeRegions);
-  if (!Regions)
-    return refusal::NoCommonRegion;
-  Plan.HomeRegions = std::move(*Regions);
-  return std::nullopt;
-}
-
-std::optional<refusal> confirmAccount(const steering &Steering,
-                                      request_plan &Plan) {
-  if (Plan.Account.empty() || !Steering.Routes ||
-      Plan.Version == Steering.Routes->Configuration.Version)
-    return std::nullopt;
-  const client_account *Account =
-      findAccount(Steering.Routes->Accounts, Plan.KeyDigest);
-  if (!Account)
-    return refusal::NoAccount;
-  Plan.Account = Account->Name;
-  Plan.Version = Steering.Routes->Configuration.Version;
-  return std::nullopt;
-}
-
 tl::expected<request_plan, refusal> planRequest(steering &Steering,
                                                 const request_facts &Facts) {
   if (!Steering.Routes)
@@ -231,6 +171,7 @@
       Facts.Arrived +
       std::min(Route.Timeout, Facts.TimeLeft.value_or(Route.Timeout));
   countRequest(Steering.RetryBudget, Plan.Service, Facts.Arrived);
+  countHomes(Steering, Plan);
   return Plan;
 }
 
@@ -294,13 +235,23 @@
     return Weights;
   Weights.UpdatedAt = Now;
   updateSpillover(Weights.Spillover, Now);
-  const std::vector<double> Slots = slotsByRegion(Steering.Targets, Targets);
+  updateShares(Weights.HomeDemand, Steering.ExpectedHomeShares);
+  const std::vector<double> AllSlots = slotsByRegion(Steering.Targets, Targets);
+  const std::vector<double> Slots =
+      slotsForOthers(AllSlots, Weights.HomeDemand);
   const double Lacking = 1 - ownCoverage(Slots, Steering.OwnRegion);
   const double Spread = std::max(
       {MinSpillover, SpilloverWithoutSlots * Lacking, Weights.Spillover.Share});
   Weights.Primary = regionWeights(Slots, Steering.OwnRegion, 1 - Spread);
   Weights.Secondary = regionWeights(
       Slots, Steering.OwnRegion, 1 - OverflowSpread - Weights.Spillover.Share);
+  // Weights count per slot, and all slots of a region are ranked.
+  for (std::size_t Region = 0; Region < AllSlots.size(); ++Region)
+    if (AllSlots[Region] > 0) {
+      const double Share = Slots[Region] / AllSlots[Region];
+      Weights.Primary[Region] *= Share;
+      Weights.Secondary[Region] *= Share;
+    }
   return Weights;
 }
 
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -6,6 +6,7 @@
 
 #include "Core/core.h"
 #include "Pacing/pacing.h"
+#include "Placement/home_demand.h"
 #include "Placement/region_spillover.h"
 #include "Quarantine/quarantine.h"
 #include "RouteTable/route_table.h"
@@ -26,6 +27,7 @@
 /// from.
 struct service_weights {
   region_spillover Spillover;
+  home_demand HomeDemand;
   /// For the primary candidate of an object.
   std::vector<double> Primary;
   /// For the secondary candidate, which takes what the primary has no capacity
@@ -47,6 +49,8 @@
   std::vector<std::uint64_t> Instances;
   /// Index of this instance's region in the target directory.
   std::size_t OwnRegion = 0;
+  /// Shares of the sum of all accounts' limits that are bound to each region.
+  std::vector<double> ExpectedHomeShares;
   /// Region weights by service.
   text_map<service_weights> Weights;
   /// The least urgent priority (highest number) among the routes and accounts.
--- a/Tests/Quota/quota_world.cpp
+++ b/Tests/Quota/quota_world.cpp
@@ -1,131 +1,16 @@
-#include "quota_world.h"
+#include "quota_simulation.h"
 
 #include "PeerMessages/peer_messages.h"
 #include "Text/text.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace amaranthhoist {
+namespace quota_simulation {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-const quota_bounds Bounds{seconds(5), 0.1, 20};
-constexpr duration TickPeriod = milliseconds(50);
-constexpr duration MaxWait = milliseconds(800);
-constexpr duration ReportPeriod = milliseconds(500);
-constexpr duration Lead = seconds(7);
-
-struct waiting {
-  account_id Account = 0;
-  instant Since{};
-};
-
-struct node_state {
-  std::string Name;
-  std::size_t Index = 0;
-  std::string Domain;
-  std::string Region;
-  bool IsUp = true;
-  instant PausedUntil{};
-  instant CutUntil{};
-  std::uint64_t Start = 0;
-  quota_coordinator Coordinator;
-  coordinator_map Map;
-  quota_holder Holder;
-  std::map<account_id, std::deque<instant>> Waiters;
-  // For the ways without coordinators.
-  std::map<account_id, std::deque<instant>> OwnSends;
-  std::map<account_id, std::map<std::size_t, double>> ReportedUse;
-};
-
-struct account_state {
-  std::string Name;
-  account_id Id = 0;
-  quota_limit Limit;
-  bool IsHot = false;
-  /// The limit that binds; a lower one does so a window after it is in force.
-  quota_limit Bound;
-  std::deque<instant> Sends;
-  std::deque<instant> Arrivals;
-  std::uint64_t SentWhileHot = 0;
-};
-
-class world {
-public:
-  explicit world(const quota_world_options &Options);
-  quota_world_result run();
-
-private:
-  using action = std::function<void()>;
-  struct event {
-    instant At;
-    std::uint64_t Order;
-    action Do;
-    bool operator<(const event &Other) const {
-      return At == Other.At ? Order > Other.Order : At > Other.At;
-    }
-  };
-
-  void at(instant When, action Do) {
-    Events.push({When, ++LastOrder, std::move(Do)});
-  }
-  double uniform() {
-    return std::uniform_real_distribution<double>(0, 1)(Random);
-  }
-  duration between(duration Low, duration High) {
-    return Low + duration(static_cast<std::int64_t>(
-                     uniform() * static_cast<double>((High - Low).count())));
-  }
-  bool isRunning(const node_state &Node) const {
-    return Node.IsUp && Now >= Node.PausedUntil;
-  }
-  void boot(node_state &Node);
-  void scheduleFaults();
-  void kill(node_state &Node, duration Downtime);
-  void killRepeatedly();
-  void fault();
-  void arrive(account_state &Account);
-  void nextArrival(account_state &Account);
-  double demandOf(const account_state &Account) const;
-  void request(node_state &Node, account_state &Account);
-  void send(node_state &Node, account_state &Account);
-  void refuse(account_state &Account);
-  bool wasBelowLimit(const account_state &Account) const;
-  void plan(node_state &Node, account_id Account);
-  void transmit(std::size_t From, std::size_t To, std::size_t Bytes, action Do);
-  void deliver(std::size_t To, std::uint64_t Start, const action &Do);
-  void serveWaiters(node_state &Node, account_id Account);
-  void tick(node_state &Node, std::uint64_t Start);
-  void report(node_state &Node, std::uint64_t Start);
-  bool admitsAlone(node_state &Node, account_state &Account);
-  account_state &accountOf(account_id Id) { return *ById.at(Id); }
-  bool usesPools() const {
-    return Options.Way == quota_way::Pools ||
-           Options.Way == quota_way::OneCoordinator;
-  }
-  account_pools poolsOf(const node_state &Node, account_id Account);
-
-  quota_world_options Options;
-  std::mt19937_64 Random;
-  instant Now{};
-  instant End{};
-  std::uint64_t LastOrder = 0;
-  std::priority_queue<event> Events;
-  std::vector<node_state> Nodes;
-  std::vector<account_state> Accounts;
-  std::map<account_id, account_state *> ById;
-  std::vector<coordinator_candidate> Listed;
-  std::map<coordinator_id, std::size_t> IndexOf;
-  instant HotFrom{};
-  instant HotUntil{};
-  double Loss = 0;
-  quota_world_result Result;
-};
-
 world::world(const quota_world_options &Options)
     : Options(Options), Random(Options.Seed) {
   const bool IsOne = Options.Way == quota_way::OneCoordinator;
@@ -423,82 +308,6 @@
      [this, &Node, Start] { report(Node, Start); });
 }
 
-void world::scheduleFaults() {
-  if (!Options.HasFaults)
-    return;
-  Loss = uniform() < 0.3 ? 0.1 : 0;
-  const std::size_t Count = 2 + Random() % 8;
-  const instant Begin = instant(Lead);
-  if (Options.HasKills && uniform() < 0.2)
-    killRepeatedly();
-  // Half of the schedules strike all at once.
-  const bool IsDense = uniform() < 0.5;
-  const duration First = between(seconds(0), Options.Length / 2);
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    const duration When = IsDense ? First + between(seconds(0), seconds(5))
-                                  : between(seconds(0), Options.Length);
-    at(Begin + When, [this] { fault(); });
-  }
-}
-
-void world::kill(node_state &Node, duration Downtime) {
-  if (!Node.IsUp)
-    return;
-  Node.IsUp = false;
-  ++Node.Start;
-  at(Now + Downtime, [this, &Node] { boot(Node); });
-}
-
-/// Kills most instances several times within one window.
-void world::killRepeatedly() {
-  instant When = HotFrom + between(duration::zero(), seconds(2));
-  for (int Count = 0; Count < 6; ++Count) {
-    at(When, [this] {
-      for (node_state &Node : Nodes)
-        if (uniform() < 0.9)
-          kill(Node, between(milliseconds(50), milliseconds(200)));
-    });
-    When += between(milliseconds(700), milliseconds(1'000));
-  }
-}
-
-void world::fault() {
-  const double Draw = uniform();
-  const double Share = Draw < 0.3 ? 1.0 : uniform();
-  const std::uint64_t Kind = Options.HasKills ? Random() % 5 : 2 + Random() % 3;
-  const duration Length = between(milliseconds(300), seconds(7));
-  if (Kind == 4) {
-    account_state &Account = Accounts[Random() % Accounts.size()];
-    Account.Limit.RequestsPerSecond *= uniform() < 0.5 ? 0.4 : 1.5;
-    Account.Limit.Burst = Account.Limit.RequestsPerSecond;
-    const bool IsLower =
-        Account.Limit.RequestsPerSecond < Account.Bound.RequestsPerSecond;
-    const duration Delay = IsLower ? Bounds.Window : duration::zero();
-    const quota_limit Next = Account.Limit;
-    at(Now + Delay, [&Account, Next] {
-      // A change that came later binds at its own time.
-      if (Account.Limit.RequestsPerSecond <= Next.RequestsPerSecond)
-        Account.Bound = Next;
-    });
-    return;
-  }
-  for (node_state &Node : Nodes) {
-    if (uniform() > Share)
-      continue;
-    switch (Kind) {
-    case 0:
-    case 1:
-      kill(Node, between(milliseconds(300), milliseconds(1'500)));
-      break;
-    case 2:
-      Node.PausedUntil = std::max(Node.PausedUntil, Now + Length);
-      break;
-    default:
-      Node.CutUntil = std::max(Node.CutUntil, Now + Length);
-    }
-  }
-}
-
 quota_world_result world::run() {
   for (node_state &Node : Nodes)
     boot(Node);
@@ -524,10 +333,10 @@
   return Result;
 }
 
-} // namespace
+} // namespace quota_simulation
 
 quota_world_result runQuotaWorld(const quota_world_options &Options) {
-  return world(Options).run();
+  return quota_simulation::world(Options).run();
 }
 
 } // namespace amaranthhoist
--- a/Tests/Quota/quota_world.h
+++ b/Tests/Quota/quota_world.h
@@ -7,14 +7,8 @@
 #include "Quota/coordinator_map.h"
 #include "Quota/quota.h"
 
+#include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <map>
-#include <memory>
-#include <queue>
-#include <random>
-#include <string>
-#include <vector>
 
 namespace amaranthhoist {
 
