--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -68,6 +68,7 @@
       "nodes", "", cxxopts::value<std::size_t>()->default_value("4"))(
       "servers", "", cxxopts::value<std::size_t>()->default_value("6"))(
       "callers", "", cxxopts::value<std::size_t>()->default_value("16"))(
+      "accounts", "requests carry the API keys of client accounts")(
       "keep", "keep the logs of runs that failed")("help", "");
   // Reports exceptions, such as those of bad options, as text. All other
   // failures are results of a run.
@@ -82,9 +83,9 @@
       return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const soak_size Size{Parsed["nodes"].as<std::size_t>(),
-                         Parsed["servers"].as<std::size_t>(),
-                         Parsed["callers"].as<std::size_t>()};
+    const soak_size Size{
+        Parsed["nodes"].as<std::size_t>(), Parsed["servers"].as<std::size_t>(),
+        Parsed["callers"].as<std::size_t>(), Parsed.count("accounts") > 0};
     const char *Given = std::getenv("AMARANTHHOIST_NODE");
     std::size_t Failed = 0;
     for (std::uint64_t Seed : Seeds) {
--- a/Tests/Soak/soak_caller.cpp
+++ b/Tests/Soak/soak_caller.cpp
@@ -21,6 +21,15 @@
 
 soak_caller::~soak_caller() { Loop.cancel(Timer); }
 
+/// Chosen by the request's id, so that the caller's other random choices are
+/// the same with and without keys.
+static soak_key chooseKey(std::string_view Id) {
+  const std::uint64_t Draw = stableHash(Id) % 10;
+  if (Draw == 0)
+    return soak_key::Wrong;
+  return Draw < 4 ? soak_key::Bounded : soak_key::Steady;
+}
+
 void soak_caller::start() {
   Timer = Loop.runAfter(std::chrono::milliseconds(Random() % LongestPauseMs),
                         [this] { send(); });
@@ -40,6 +49,11 @@
   observed_attempt Attempt;
   Attempt.Id = cat(Name, "-", Attempts.size());
   Attempt.IsIdempotent = Random() % 2 == 0;
+  std::string KeyField;
+  if (UsesKeys) {
+    Attempt.Key = chooseKey(Attempt.Id);
+    KeyField = cat("\r\nApi-Key: ", SoakKeyPrefix, toString(Attempt.Key));
+  }
   Attempts.push_back(Attempt);
   Current = true;
   if (!Connection || !Connection->isOpen()) {
@@ -63,7 +77,7 @@
       cat(Attempt.IsIdempotent ? "GET /safe/x" : "POST /once/x",
           " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: ", Attempt.Id,
           "\r\nX-Affinity-Key: ", Random() % 50,
-          "\r\nX-Deadline-Remaining: ", Deadline.count() / 1'000,
+          "\r\nX-Deadline-Remaining: ", Deadline.count() / 1'000, KeyField,
           Attempt.IsIdempotent ? "\r\n\r\n"
                                : "\r\nContent-Length: 4\r\n\r\nbody"),
       /*IsHeadRequest=*/false);
--- a/Tests/Soak/soak_caller.h
+++ b/Tests/Soak/soak_caller.h
@@ -13,6 +13,23 @@
 namespace amaranthhoist {
 
 /// One attempt as observed by its caller.
+/// The API key of a request in a run with client accounts.
+enum class soak_key : std::uint8_t {
+  /// The run has no accounts.
+  None,
+  /// Of an account without a limit.
+  Steady,
+  /// Of an account that asks for more than its limit.
+  Bounded,
+  /// Of no account.
+  Wrong,
+};
+
+/// All keys of a run begin with this, so that they are found where they must
+/// not appear.
+inline constexpr const char *SoakKeyPrefix = "soak-key-";
+std::string_view toString(soak_key Key);
+
 struct observed_attempt {
   std::string Id;
   bool IsIdempotent = true;
@@ -21,6 +38,7 @@
   bool HasSignature = false;
   std::string Body;
   bool IsCompleted = false;
+  soak_key Key = soak_key::None;
 };
 
 class soak_caller : private call_owner {
@@ -31,6 +49,8 @@
   ~soak_caller() override;
 
   void start();
+  /// Sends API keys from now on.
+  void useKeys() { UsesKeys = true; }
   /// Stops sending. The attempt in flight continues.
   void stop() { IsStopping = true; }
   [[nodiscard]] bool isIdle() const { return !Current; }
@@ -58,6 +78,7 @@
   timer_id Timer = 0;
   bool Current = false;
   bool IsStopping = false;
+  bool UsesKeys = false;
 };
 
 } // namespace amaranthhoist
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -33,6 +33,9 @@
 
 void soak_run::build(const soak_size &Size) {
   Fleet.RetryRatio = RetryRatio;
+  HasAccounts = Size.HasAccounts;
+  if (HasAccounts)
+    addAccounts();
   Fleet.putConfiguration(Version);
   for (std::size_t Index = 0; Index < Size.Servers; ++Index)
     addServer(Domains[Index % Domains.size()]);
@@ -48,6 +51,36 @@
     Callers.push_back(
         std::make_unique<soak_caller>(Fleet.Loop, cat("c", Index), Random(),
                                       [this] { return chooseNode().Callers; }));
+  if (HasAccounts)
+    for (const auto &Caller : Callers)
+      Caller->useKeys();
+}
+
+void soak_run::addAccounts() {
+  const auto KeyOf = [](soak_key Key) {
+    return cat(SoakKeyPrefix, toString(Key));
+  };
+  Fleet.Accounts = {{"steady", {{"api_keys", {KeyOf(soak_key::Steady)}}}},
+                    {"bounded",
+                     {{"api_keys", {KeyOf(soak_key::Bounded)}},
+                      {"rate_per_s", 10},
+                      {"burst", 10}}}};
+  Fleet.Fields = cat("Api-Key: ", KeyOf(soak_key::Steady), "\r\n");
+}
+
+/// Checks what servers and logs show of the accounts.
+void soak_run::checkAccounts(std::vector<std::string> &Broken) {
+  for (const auto &[Id, Target] : Fleet.Targets) {
+    if (Target->KeysReceived > 0)
+      Broken.push_back(cat(Id, " received ", Target->KeysReceived, " keys"));
+    for (const auto &[Account, Runs] : Target->RunsByAccount)
+      if (!Fleet.Accounts.contains(Account))
+        Broken.push_back(
+            cat(Id, " ran ", Runs, " requests of account '", Account, "'"));
+  }
+  for (const auto &Node : Fleet.Nodes)
+    if (Fleet.logOf(*Node).find(SoakKeyPrefix) != std::string::npos)
+      Broken.push_back(cat("the log of ", Node->Name, " contains a key"));
 }
 
 node_process &soak_run::chooseNode() {
@@ -393,6 +426,8 @@
   stopCallers();
   checkAfterFaults(Result.Broken);
   checkServerSignals(Result.Broken);
+  if (HasAccounts)
+    checkAccounts(Result.Broken);
 
   std::vector<observed_attempt> Attempts;
   for (const auto &Caller : Callers)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -19,6 +19,8 @@
   std::size_t Nodes = 4;
   std::size_t Servers = 6;
   std::size_t Callers = 16;
+  /// Requests carry the API keys of client accounts, some of them wrong.
+  bool HasAccounts = false;
 };
 
 struct soak_result {
@@ -47,6 +49,8 @@
   };
 
   void build(const soak_size &Size);
+  void addAccounts();
+  void checkAccounts(std::vector<std::string> &Broken);
   void addServer(const std::string &Domain);
   void begin(const fault &Fault);
   void beginAtNode(const fault &Fault);
@@ -88,6 +92,7 @@
   /// Processes that received SIGTERM, by node.
   std::map<const node_process *, pid_t> Terminating;
   int Version = 1;
+  bool HasAccounts = false;
 };
 
 } // namespace amaranthhoist
--- a/Tests/Soak/verdict.cpp
+++ b/Tests/Soak/verdict.cpp
@@ -8,6 +8,20 @@
 
 namespace amaranthhoist {
 
+std::string_view toString(soak_key Key) {
+  switch (Key) {
+  case soak_key::None:
+    return "none";
+  case soak_key::Steady:
+    return "steady";
+  case soak_key::Bounded:
+    return "bounded";
+  case soak_key::Wrong:
+    return "wrong";
+  }
+  return "none";
+}
+
 /// Status codes that guarantee that the request was not and will not be
 /// executed.
 static bool promisesNotRun(int Status) {
@@ -22,6 +36,15 @@
          Permitted.end();
 }
 
+/// Whether the status is right for the key of the request.
+static bool isPermittedForKey(const observed_attempt &Attempt) {
+  if (Attempt.Key == soak_key::Wrong)
+    return Attempt.Status == 401 || Attempt.Status == 0 ||
+           Attempt.Status == 503;
+  return isPermitted(Attempt.Status) ||
+         (Attempt.Key == soak_key::Bounded && Attempt.Status == 429);
+}
+
 static void checkAttempt(const observed_attempt &Attempt, int Runs,
                          std::vector<std::string> &Broken) {
   if (!Attempt.IsIdempotent && Runs > 1)
@@ -29,9 +52,12 @@
         cat(Attempt.Id, " is not idempotent and ran ", Runs, " times"));
   if (!Attempt.IsIdempotent && promisesNotRun(Attempt.Status) && Runs > 0)
     Broken.push_back(cat(Attempt.Id, " ran and was answered ", Attempt.Status));
-  if (!isPermitted(Attempt.Status))
-    Broken.push_back(
-        cat(Attempt.Id, " is well-formed and was answered ", Attempt.Status));
+  if (!isPermittedForKey(Attempt))
+    Broken.push_back(cat(Attempt.Id, " is well-formed, with key ",
+                         toString(Attempt.Key), ", and was answered ",
+                         Attempt.Status));
+  if (Attempt.Key == soak_key::Wrong && Runs > 0)
+    Broken.push_back(cat(Attempt.Id, " ran without a valid key"));
   if (Attempt.Status == 0 || Attempt.Status / 100 != 2) {
     if (Attempt.Status != 0 && Attempt.HasSignature)
       Broken.push_back(
