--- a/Libraries/Quota/coordinator_map.cpp
+++ b/Libraries/Quota/coordinator_map.cpp
@@ -139,6 +139,7 @@
 askOrder(std::span<const coordinator_candidate> Coordinators,
          std::string_view FailureDomain, std::string_view Region) {
   std::vector<const coordinator_candidate *> Order;
+  Order.reserve(Coordinators.size());
   for (const coordinator_candidate &Coordinator : Coordinators)
     Order.push_back(&Coordinator);
   const auto Distance = [&](const coordinator_candidate *Coordinator) {
@@ -159,6 +160,7 @@
                                              : LeftDistance < RightDistance;
       });
   std::vector<coordinator_id> Ids;
+  Ids.reserve(Order.size());
   for (const coordinator_candidate *Coordinator : Order)
     Ids.push_back(stableHash(Coordinator->Name));
   return Ids;
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -61,6 +61,10 @@
 /// applied.
 static constexpr duration MinRetryAfter = std::chrono::milliseconds(250);
 static constexpr duration MaxRetryAfter = std::chrono::milliseconds(1'000);
+/// Bounds of the Retry-After time after a rejection that says nothing about
+/// load: longer than a pause of a server, short compared to the objectives.
+static constexpr duration MinRoomRetryAfter = std::chrono::milliseconds(30);
+static constexpr duration MaxRoomRetryAfter = std::chrono::milliseconds(90);
 /// Callers honor a Retry-After time of up to a third of their remaining time;
 /// the share is a little less, to leave time for the transfer.
 static constexpr double RetryAfterShare = 0.3;
@@ -383,6 +387,12 @@
                       Load.Running + Load.Waiting, Load.Slots);
 }
 
+void recordRejection(request_plan &Plan,
+                     const std::optional<target_load> &Load) {
+  Plan.WasRejectedWithRoom =
+      Load && Load->Waiting == 0 && Load->Running < Load->Slots;
+}
+
 void beginAttempt(steering &Steering, request_plan &Plan, target &Target,
                   instant Now) {
   ++Plan.Attempts;
@@ -420,12 +430,14 @@
 /// A Retry-After time within the caller's remaining time, with jitter derived
 /// from the request id.
 static duration jitteredRetryAfter(const request_plan &Plan,
-                                   std::string_view RequestId, instant Now) {
+                                   std::string_view RequestId, instant Now,
+                                   duration Lower = MinRetryAfter,
+                                   duration Upper = MaxRetryAfter) {
   const duration Left = std::max(duration::zero(), Plan.Deadline - Now);
   const duration Longest = std::min(
-      MaxRetryAfter, duration(static_cast<std::int64_t>(
-                         RetryAfterShare * static_cast<double>(Left.count()))));
-  const duration Shortest = std::min(MinRetryAfter, Longest);
+      Upper, duration(static_cast<std::int64_t>(
+                 RetryAfterShare * static_cast<double>(Left.count()))));
+  const duration Shortest = std::min(Lower, Longest);
   const auto Range =
       static_cast<std::uint64_t>((Longest - Shortest).count()) + 1;
   return Shortest + duration(static_cast<std::int64_t>(
@@ -444,6 +456,11 @@
   case refusal::BackingOff:
     return earliestBackoffEnd(Steering, Plan, Now).value_or(Now) - Now +
            jitteredRetryAfter(Plan, RequestId, Now);
+  case refusal::RetryBudgetExhausted:
+    if (Plan.WasRejectedWithRoom)
+      return jitteredRetryAfter(Plan, RequestId, Now, MinRoomRetryAfter,
+                                MaxRoomRetryAfter);
+    return jitteredRetryAfter(Plan, RequestId, Now);
   default:
     return jitteredRetryAfter(Plan, RequestId, Now);
   }
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -90,6 +90,9 @@
   int DeliveredAttempts = 0;
   /// Whether a server may have executed the request.
   bool MayHaveRun = false;
+  /// The last server rejected the request although it reported free slots: the
+  /// rejection says nothing about load.
+  bool WasRejectedWithRoom = false;
   /// Servers that gave no response to this request; they are excluded from
   /// further attempts.
   std::vector<std::string> TriedTargets;
@@ -213,6 +216,11 @@
 void recordServerLoad(steering &Steering, target &Target,
                       const target_load &Load, instant Now);
 
+/// Records that a server rejected the request without running it. \p Load is
+/// what it reported with the rejection, if anything.
+void recordRejection(request_plan &Plan,
+                     const std::optional<target_load> &Load);
+
 /// Records the start of an attempt at \p Target.
 void beginAttempt(steering &Steering, request_plan &Plan, target &Target,
                   instant Now);
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -268,12 +268,15 @@
     return false;
   Node.Loop.cancel(ConnectTimer);
   HasResponseHead = true;
-  if (const auto Load = Head.find(Node.Wire.Load))
-    if (const auto Decoded = Node.Wire.DecodeLoad(*Load))
-      recordServerLoad(Node.Steering, *Target, *Decoded, Node.Loop.now());
+  const auto LoadField = Head.find(Node.Wire.Load);
+  const auto Load = LoadField ? Node.Wire.DecodeLoad(*LoadField) : std::nullopt;
+  if (Load)
+    recordServerLoad(Node.Steering, *Target, *Load, Node.Loop.now());
   applyServerState(Head);
   ServerDidNotRun =
       Head.find(Node.Wire.NotRun).has_value() || Head.status() == 421;
+  if (ServerDidNotRun)
+    recordRejection(Plan, Load);
   const bool ClaimsSuccess = Head.status() / 100 == 2;
   if (ClaimsSuccess && (!Id || !Head.find(Node.Wire.Signature).has_value())) {
     // The response was not made by the server and must not reach the caller.
--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -276,6 +276,7 @@
       logUnreadable(object_kind::Instance, Name, Member.error().Message);
   }
   std::vector<coordinator_candidate> Candidates;
+  Candidates.reserve(Members.size());
   for (const fleet_member &Member : Members)
     Candidates.push_back(
         {Member.Name, Member.FailureDomain, Member.Region, Member.Processor});
--- a/Tests/Quota/quota_simulation.h
+++ b/Tests/Quota/quota_simulation.h
@@ -97,7 +97,8 @@
   void refuse(account_state &Account);
   bool wasBelowLimit(const account_state &Account) const;
   void plan(node_state &Node, account_id Account);
-  void transmit(std::size_t From, std::size_t To, std::size_t Bytes, action Do);
+  void transmit(std::size_t From, std::size_t To, std::size_t Bytes,
+                const action &Do);
   void deliver(std::size_t To, std::uint64_t Start, const action &Do);
   void serveWaiters(node_state &Node, account_id Account);
   void tick(node_state &Node, std::uint64_t Start);
--- a/Tests/Quota/quota_world.cpp
+++ b/Tests/Quota/quota_world.cpp
@@ -161,7 +161,7 @@
 }
 
 void world::transmit(std::size_t From, std::size_t To, std::size_t Bytes,
-                     action Do) {
+                     const action &Do) {
   ++Result.Messages;
   Result.MessageBytes += Bytes;
   if (Now < Nodes[From].CutUntil || Now < Nodes[To].CutUntil ||
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -346,3 +346,34 @@
   POINTERS_EQUAL(First,
                  chooseTarget(Steering, Plan, instant(seconds(1))).value());
 }
+
+// Servers that reject at random though they have free slots: callers that come
+// back after a second come too late for their objective, and nothing is gained
+// by waiting.
+TEST(Steering, RejectionWithFreeSlotsIsRetriedSoon) {
+  steering Steering;
+  request_plan Plan;
+  Plan.Deadline = instant(seconds(5));
+  recordRejection(Plan, target_load{2, 0, 4});
+  for (const char *Id : {"1", "2", "3"}) {
+    const duration Soon = retryAfter(
+        Steering, Plan, refusal::RetryBudgetExhausted, Id, instant());
+    CHECK(Soon >= milliseconds(30));
+    CHECK(Soon <= milliseconds(90));
+  }
+}
+
+// Servers that are full: callers that come back soon would find them full.
+TEST(Steering, RejectionByAFullServerIsRetriedLater) {
+  steering Steering;
+  request_plan Plan;
+  Plan.Deadline = instant(seconds(5));
+  for (const std::optional<target_load> &Load :
+       {std::optional<target_load>(target_load{4, 0, 4}),
+        std::optional<target_load>(target_load{3, 2, 4}),
+        std::optional<target_load>()}) {
+    recordRejection(Plan, Load);
+    CHECK(retryAfter(Steering, Plan, refusal::RetryBudgetExhausted, "1",
+                     instant()) >= milliseconds(250));
+  }
+}
