--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -415,6 +415,9 @@
     // to its end.
     return false;
   }
+  // A token that arrives before this object is destroyed must not send the
+  // request.
+  releaseToken();
   if (Target)
     log(log_kind::RequestFailure, "cancelled", "caller_left", 0);
   dropConnection();
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -192,6 +192,7 @@
     Node.Steering.RetryBudget.Bounds = {Settings->Bounds.RetryRatio,
                                         Settings->Bounds.RetryWindow,
                                         Settings->Bounds.RetrySlack};
+    Quotas.applyBounds();
     setDomains(Node.Steering.Targets, Settings->FailureDomains);
     Node.Steering.OwnRegion =
         regionIndex(Node.Steering.Targets, Node.Settings.Region);
--- a/Services/Node/quota_link.cpp
+++ b/Services/Node/quota_link.cpp
@@ -20,15 +20,19 @@
 
 quota_link::quota_link(node &Node, send_function Send)
     : Node(Node), Send(std::move(Send)) {
-  const node_bounds &Bounds = Node.Settings.Bounds;
-  Coordinator.Bounds = {Bounds.QuotaWindow, Bounds.QuotaOvershoot,
-                        Bounds.QuotaSlack};
+  applyBounds();
   std::random_device Device;
   HolderNumber = static_cast<std::uint64_t>(Device()) << 32U | Device();
   Node.Loop.runEvery(TickPeriod, [this] { tick(); });
   Node.Loop.atEndOfIteration([this] { flush(); });
 }
 
+void quota_link::applyBounds() {
+  const node_bounds &Bounds = Node.Settings.Bounds;
+  Coordinator.Bounds = {Bounds.QuotaWindow, Bounds.QuotaOvershoot,
+                        Bounds.QuotaSlack};
+}
+
 quota_limit quota_link::limitOf(account_id Account) const {
   const auto &Routes = Node.Steering.Routes;
   const client_account *Found =
@@ -235,8 +239,8 @@
     return;
   NextEviction = Now + EvictionPeriod;
   evictIdlePools(Coordinator, Now);
-  absl::erase_if(Waiters,
-                 [](const auto &Entry) { return Entry.second.empty(); });
+  std::erase_if(Waiters,
+                [](const auto &Entry) { return Entry.second.empty(); });
 }
 
 void quota_link::onInstances(std::span<const coordinator_candidate> Instances) {
--- a/Services/Node/quota_link.h
+++ b/Services/Node/quota_link.h
@@ -43,6 +43,8 @@
 
   quota_link(node &Node, send_function Send);
 
+  /// Applies the bounds of the settings, which may have been reloaded.
+  void applyBounds();
   /// Whether the account has a limit at all.
   [[nodiscard]] bool isLimited(const std::string &Account) const;
   /// Spends a token of the account. If the verdict is Pending, \p Waiter is
@@ -102,7 +104,9 @@
   absl::flat_hash_map<account_id, view_version> AppliedVersions;
   std::uint64_t InstancesVersion = 0;
   std::uint64_t HolderNumber = 0;
-  absl::flat_hash_map<account_id, waiter_queue> Waiters;
+  /// References to the queues are held while waiters are called, which may add
+  /// others.
+  std::map<account_id, waiter_queue> Waiters;
   /// Requests that are sent together at the end of the loop's iteration.
   std::map<std::string, std::vector<quota_request>> Outgoing;
   instant NextEviction{};
