Pacing: retries are paid for by the requests of an instance, and expire

Callers (not seen on the present code): retries beyond the budget while servers already fail. Cause: an instance spent up to 0.8 of the ratio of its own requests of the last window. While callers move, those they left spend what they earned in the window before, and those they come to earn and spend inside the window; the operators allow for one window of requests. Change: each request earns half of the ratio as a token that expires after half a window. All retries of a window are then paid for by the requests of two windows, whoever served them, which is at most the operators' bound; the other half window is for retries that arrive late. A process that starts needs no lower share for the ratio any more: what its predecessor spent was paid for by its requests. The slack is counted for one second more than its window, as its retries may arrive late.

--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -28,11 +28,17 @@
 struct retry_counts {
   /// Slices of one window.
   static constexpr std::size_t SlicesPerWindow = 20;
-  /// One more is kept: the current slice has only begun, and without it a retry
-  /// would be forgotten before its window has passed.
-  static constexpr std::size_t Slices = SlicesPerWindow + 1;
+  /// More are kept: the current slice has only begun, and what was spent in the
+  /// first one may arrive later than it was sent. Without them it would be
+  /// forgotten before its window has passed.
+  static constexpr std::size_t Slices = SlicesPerWindow + 3;
   std::array<double, Slices> Requests{};
   std::array<double, Slices> Retries{};
+  /// Tokens earned in the slice by requests and not spent yet; one pays for a
+  /// retry.
+  std::array<double, Slices> Tokens{};
+  /// Part of the slack that was spent in the slice.
+  std::array<double, Slices> SlackSpent{};
   /// Number of the slice that was written last.
   std::int64_t LastSlice = 0;
   /// Retries since the start that were denied, and those that needed no token
@@ -41,23 +47,23 @@
   std::int64_t Uncharged = 0;
 };
 
-/// What one service's budget at this instance allows and what it has spent,
-/// over the last window.
+/// What one service's budget at this instance has spent over the last window,
+/// and what is left.
 struct retry_usage {
   double Requests = 0;
   double Retries = 0;
-  /// Upper bound of Retries.
-  double Allowed = 0;
+  /// Retries that may be sent now.
+  double Available = 0;
 };
 
 /// Limits retries to a fraction of requests, so that they cannot multiply a
-/// load that already fails.
+/// load that already fails. Each request earns a part of a token that expires;
+/// an instance's part of the slack renews with the window.
 struct windowed_retry_budget {
   retry_bounds Bounds;
-  /// From this time on the whole budget is available. A process that has just
-  /// started does not know what its predecessor has spent, which counts for one
-  /// window.
-  instant AvailableFrom{};
+  /// From this time on the slack is available. A process that has just started
+  /// does not know what its predecessor has spent, which counts for one window.
+  instant SlackAvailableFrom{};
   text_map<retry_counts> ByService;
 };
 
--- a/Services/Node/retry_budget_log.cpp
+++ b/Services/Node/retry_budget_log.cpp
@@ -23,8 +23,9 @@
   for (const auto &[Service, Counts] : Budget.ByService) {
     const retry_usage Usage = retryUsage(
         Budget, Service, Node.Steering.Instances.size(), Node.Loop.now());
-    if (Usage.Allowed > 0)
-      Share = std::max(Share, Usage.Retries / Usage.Allowed);
+    const double Allowed = Usage.Retries + Usage.Available;
+    if (Allowed > 0)
+      Share = std::max(Share, Usage.Retries / Allowed);
   }
   return Share;
 }
@@ -45,7 +46,7 @@
                    {{"service", Service},
                     {"requests", Usage.Requests},
                     {"retries", Usage.Retries},
-                    {"allowed", Usage.Allowed},
+                    {"allowed", Usage.Retries + Usage.Available},
                     {"instances", static_cast<std::int64_t>(Instances)},
                     {"denied", Counts.Denied},
                     {"uncharged", Counts.Uncharged}},
--- a/Tests/retry_budget_test.cpp
+++ b/Tests/retry_budget_test.cpp
@@ -2,6 +2,7 @@
 // start, restart and don't know each other.
 
 #include "Pacing/pacing.h"
+#include "RetryBudget/retry_budget_world.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -76,6 +77,16 @@
   std::vector<double> Retries;
 };
 
+/// Number of schedules of faults that break the bound.
+int brokenSchedules(retry_world_options Options, std::uint64_t Count) {
+  int Broken = 0;
+  for (std::uint64_t Seed = 1; Seed <= Count; ++Seed) {
+    Options.Seed = Seed;
+    Broken += runRetryWorld(Options).WorstUse > 1 ? 1 : 0;
+  }
+  return Broken;
+}
+
 } // namespace
 
 // clang-format off
@@ -153,3 +164,33 @@
     ++Permitted;
   CHECK_COMPARE(Permitted, >=, 5);
 }
+
+// Failure: callers move to other instances while servers fail; those they left
+// spend what they earned, the others spend it again, and retries exceed the
+// bound.
+TEST(RetryBudget, BoundHoldsWhileCallersMove) {
+  for (const double Rate : {10.0, 30.0, 120.0, 300.0})
+    LONGS_EQUAL(0, brokenSchedules({.Rate = Rate}, 60));
+  LONGS_EQUAL(0, brokenSchedules({.Instances = 30, .Rate = 600}, 20));
+}
+
+// The check must find each of these faults.
+TEST(RetryBudget, FaultySharesBreakTheBound) {
+  CHECK(brokenSchedules({.Way = retry_way::OwnWindow}, 60) > 0);
+  CHECK(brokenSchedules({.Rate = 10, .Mutant = retry_mutant::StartsWithSlack},
+                        60) > 0);
+}
+
+// A whole token must be left of the requests of a quiet instance.
+TEST(RetryBudget, TokensOfAQuietInstancePermitRetries) {
+  windowed_retry_budget Budget = makeRetryBudget(Bounds, Start);
+  int Permitted = 0;
+  for (int At = 0; At < 100; ++At) {
+    countRequest(Budget, "desk", Start + milliseconds(400 * At));
+    Permitted += tryAcquireRetry(Budget, "desk", /*Instances=*/0,
+                                 Start + milliseconds(400 * At))
+                     ? 1
+                     : 0;
+  }
+  CHECK_COMPARE(Permitted, >=, 9);
+}
