Pacing: an instance's part of the slack is leased

Callers (seen in the simulation alone): retries beyond the budget while instances are cut off from the store and the others for over 30 s. Cause: the others remove instances that they miss and divide the slack by fewer; those that are cut off go on with their old part. Instances that come back see a shortened list and take a larger part at once. Change: the part of the slack is a lease that a current list of instances renews. It ends after 15 s without one, a window of retries before the others remove the instance, and begins a window after it was renewed.

The mutant StartsWithSlack now also undoes the lease's first window, which would hide it.

--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -8,11 +8,17 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace amaranthhoist {
 
+/// Age at which a list of instances no longer entitles to a part of what they
+/// share: the others remove an instance that they miss, and divide its part.
+/// Ends at least a window of retries before they do.
+inline constexpr duration InstanceListLease = std::chrono::seconds(15);
+
 /// Bounds on retries, set by the operators.
 struct retry_bounds {
   /// Retries allowed per request of callers.
@@ -64,12 +70,20 @@
   /// From this time on the slack is available. A process that has just started
   /// does not know what its predecessor has spent, which counts for one window.
   instant SlackAvailableFrom{};
+  /// The part of the slack is leased until then; without a lease it doesn't
+  /// end.
+  std::optional<instant> SlackLeaseEnd;
   text_map<retry_counts> ByService;
 };
 
 /// Creates the budget of a process that starts at \p Now.
 windowed_retry_budget makeRetryBudget(const retry_bounds &Bounds, instant Now);
 
+/// Renews the lease on a part of the slack after the list of instances was
+/// current at \p ListCurrentAt. A lease that isn't held begins one window
+/// later, since others may have used its part meanwhile.
+void renewSlackLease(windowed_retry_budget &Budget, instant ListCurrentAt,
+                     instant Now);
 /// Records a request of a caller for \p Service.
 void countRequest(windowed_retry_budget &Budget, const std::string &Service,
                   instant Now);
--- a/Libraries/Pacing/retry_budget.cpp
+++ b/Libraries/Pacing/retry_budget.cpp
@@ -54,7 +54,18 @@
 }
 
 windowed_retry_budget makeRetryBudget(const retry_bounds &Bounds, instant Now) {
-  return {Bounds, Now + Bounds.Window, {}};
+  return {Bounds, Now + Bounds.Window, std::nullopt, {}};
+}
+
+void renewSlackLease(windowed_retry_budget &Budget, instant ListCurrentAt,
+                     instant Now) {
+  const instant End = ListCurrentAt + InstanceListLease;
+  if (End <= Now)
+    return;
+  const bool IsHeld = Budget.SlackLeaseEnd && Now < *Budget.SlackLeaseEnd;
+  if (!IsHeld)
+    Budget.SlackAvailableFrom = Now + Budget.Bounds.Window;
+  Budget.SlackLeaseEnd = End;
 }
 
 void countRequest(windowed_retry_budget &Budget, const std::string &Service,
@@ -69,7 +80,8 @@
 static double availableSlack(const windowed_retry_budget &Budget,
                              const retry_counts &Counts, std::size_t Instances,
                              instant Now) {
-  if (Instances == 0 || Now < Budget.SlackAvailableFrom)
+  const bool IsLeased = !Budget.SlackLeaseEnd || Now < *Budget.SlackLeaseEnd;
+  if (Instances == 0 || !IsLeased || Now < Budget.SlackAvailableFrom)
     return 0;
   const double Own =
       SlackShare * Budget.Bounds.Slack / static_cast<double>(Instances);
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -83,6 +83,7 @@
   if (!HasFullState)
     onBootstrapFinished();
   const instant Now = Node.Loop.now();
+  renewSlackLease(Node.Steering.RetryBudget, Now - age(), Now);
   const watch_inputs View{ownRank(Node.Fleet),
                           age(),
                           Now - std::max(freshAt(), Relay.respondedAt()),
--- a/Tests/RetryBudget/retry_budget_world.cpp
+++ b/Tests/RetryBudget/retry_budget_world.cpp
@@ -101,6 +101,7 @@
     return {From, From + between(Shortest, Longest)};
   }
   void scheduleFaults();
+  void scheduleCuts();
   void scheduleMoves();
   void scheduleKills();
   double demandAt(std::size_t Instance, int At) const;
@@ -150,6 +151,7 @@
   for (int Count = between(0, 3); Count > 0; --Count)
     Bursts.push_back({spanOf(10, 100), uniform() * 3});
   scheduleMoves();
+  scheduleCuts();
   for (std::size_t Index = 0; Index < Instances.size() / 2; ++Index) {
     Instances[anyInstance()].SlowLinks.push_back(spanOf(2, 60));
     Instances[anyInstance()].SlowReads.push_back(spanOf(2, 60));
@@ -157,6 +159,21 @@
   scheduleKills();
 }
 
+/// Some instances are cut off from the store and the others; a few of them are
+/// restarted meanwhile.
+void world::scheduleCuts() {
+  const bool IsLong = uniform() < 0.5;
+  for (int Count = between(0, 2); Count > 0; --Count) {
+    const span_of_steps When = spanOf(20, IsLong ? 700 : 80);
+    for (std::size_t Index = 0; Index < Instances.size(); ++Index) {
+      instance_state &Instance = Instances[anyInstance()];
+      Instance.Isolated.push_back(When);
+      if (uniform() < 0.3)
+        Instance.Starts.push_back(between(When.From, When.Until));
+    }
+  }
+}
+
 /// Callers of some instances come to the others, often while servers begin to
 /// fail.
 void world::scheduleMoves() {
@@ -212,7 +229,7 @@
 /// 0 while it doesn't know them.
 std::size_t world::instancesInView(const instance_state &Own) const {
   if (Own.ConnectedSteps < ViewDelay && !Own.KnowsOthers)
-    return 0;
+    return Options.Mutant == retry_mutant::CountsItselfAlone ? 1 : 0;
   if (Own.IsolatedSteps > 0)
     return Instances.size();
   return static_cast<std::size_t>(std::count_if(
@@ -223,8 +240,6 @@
 
 void world::start(instance_state &Own, int At) {
   Own.Budget = makeRetryBudget(Bounds, timeOf(At));
-  if (Options.Mutant == retry_mutant::StartsWithSlack)
-    Own.Budget.SlackAvailableFrom = {};
   Own.KnowsOthers = false;
   Own.ConnectedSteps = 0;
   std::fill(Own.Requests.begin(), Own.Requests.end(), 0);
@@ -243,6 +258,11 @@
     Own.IsRemoved = true;
   else if (Own.ConnectedSteps >= ViewDelay)
     Own.IsRemoved = false;
+  const bool HasCurrentList = Own.KnowsOthers && !IsIsolated;
+  if (HasCurrentList || Options.Mutant == retry_mutant::KeepsSlackWhileIsolated)
+    renewSlackLease(Own.Budget, timeOf(At), timeOf(At));
+  if (Options.Mutant == retry_mutant::StartsWithSlack)
+    Own.Budget.SlackAvailableFrom = {};
 }
 
 bool world::permits(std::size_t Instance, int At) {
--- a/Tests/RetryBudget/retry_budget_world.h
+++ b/Tests/RetryBudget/retry_budget_world.h
@@ -27,6 +27,11 @@
   None,
   /// The slack is available from the start of a process.
   StartsWithSlack,
+  /// An instance that has no word from the others goes on using its part of the
+  /// slack.
+  KeepsSlackWhileIsolated,
+  /// An instance that doesn't know the others takes itself for the only one.
+  CountsItselfAlone,
 };
 
 struct retry_world_options {
--- a/Tests/retry_budget_test.cpp
+++ b/Tests/retry_budget_test.cpp
@@ -177,8 +177,10 @@
 // The check must find each of these faults.
 TEST(RetryBudget, FaultySharesBreakTheBound) {
   CHECK(brokenSchedules({.Way = retry_way::OwnWindow}, 60) > 0);
-  CHECK(brokenSchedules({.Rate = 10, .Mutant = retry_mutant::StartsWithSlack},
-                        60) > 0);
+  for (const retry_mutant Mutant :
+       {retry_mutant::StartsWithSlack, retry_mutant::KeepsSlackWhileIsolated,
+        retry_mutant::CountsItselfAlone})
+    CHECK(brokenSchedules({.Rate = 10, .Mutant = Mutant}, 60) > 0);
 }
 
 // A whole token must be left of the requests of a quiet instance.
@@ -194,3 +196,23 @@
   }
   CHECK_COMPARE(Permitted, >=, 9);
 }
+
+// Failure: an instance that the others have removed from their lists goes on
+// spending the part of the slack that they have divided among themselves.
+TEST(RetryBudget, SlackEndsWithTheLease) {
+  constexpr std::size_t Count = 9;
+  windowed_retry_budget Budget = makeRetryBudget(Bounds, Start);
+  renewSlackLease(Budget, Start, Start);
+  const instant Leased = Start + Window + seconds(1);
+  CHECK(tryAcquireRetry(Budget, "desk", Count, Leased));
+  const instant Ended = Start + InstanceListLease;
+  CHECK_FALSE(tryAcquireRetry(Budget, "desk", Count, Ended));
+  // A list that is already too old renews nothing.
+  renewSlackLease(Budget, Start, Ended);
+  CHECK_FALSE(tryAcquireRetry(Budget, "desk", Count, Ended));
+  // The others may have used this part until the lease is renewed.
+  renewSlackLease(Budget, Ended, Ended);
+  CHECK_FALSE(tryAcquireRetry(Budget, "desk", Count, Ended));
+  renewSlackLease(Budget, Ended + Window, Ended + Window);
+  CHECK(tryAcquireRetry(Budget, "desk", Count, Ended + Window));
+}
