Tests: a node that reaches no backend server

A node has its own copy of the store, in which the servers are listed at addresses that refuse connections, or where they hang; two other nodes reach the same servers. The runner's main() has its own file, since a second program of such tests uses it.

--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -83,9 +83,18 @@
 void node_fleet::listTarget(const target_stand_in &Target,
                             const std::string &Domain, const std::string &State,
                             const std::string &Address) {
-  Store.put("servers", Target.Id,
+  listTargetIn(Store, Target, Domain, State,
+               Address.empty() ? Target.address() : Address);
+}
+
+void node_fleet::listTargetIn(store_stand_in &Where,
+                              const target_stand_in &Target,
+                              const std::string &Domain,
+                              const std::string &State,
+                              const std::string &Address) {
+  Where.put("servers", Target.Id,
             {{"service", "desk"},
-             {"address", Address.empty() ? Target.address() : Address},
+             {"address", Address},
              {"zone", Domain},
              {"slots", 4},
              {"state", State},
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -103,6 +103,10 @@
   /// own.
   void listTarget(const target_stand_in &Target, const std::string &Domain,
                   const std::string &State, const std::string &Address = {});
+  /// The same in another store.
+  static void listTargetIn(store_stand_in &Where, const target_stand_in &Target,
+                           const std::string &Domain, const std::string &State,
+                           const std::string &Address);
   /// Routes /safe/ (idempotent), /once/ (non-idempotent) and /slow/ (like
   /// /once/, with a timeout of one minute) to the service, /open/ (like /safe/,
   /// public), and /extra/ if \p HasExtra; has the client accounts.
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -6,8 +6,6 @@
 #include "node_fleet.h"
 #include "small_fleet.h"
 
-#include <CppUTest/CommandLineTestRunner.h>
-#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <csignal>
 
@@ -401,10 +399,3 @@
     ++Version;
   }
 }
-
-int main(int ArgumentCount, char **Arguments) {
-  // The detector reports static objects of the libraries as leaks.
-  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-  std::signal(SIGPIPE, SIG_IGN);
-  return CommandLineTestRunner::RunAllTests(ArgumentCount, Arguments);
-}
--- a/Tests/NodeProcesses/store_stand_in.cpp
+++ b/Tests/NodeProcesses/store_stand_in.cpp
@@ -35,6 +35,15 @@
   wakeWatches();
 }
 
+void store_stand_in::copyFrom(const store_stand_in &Other,
+                              const std::string &Kind,
+                              const std::string &Name) {
+  for (const auto &[OtherKind, Objects] : Other.Data.Objects)
+    for (const auto &[OtherName, Object] : Objects)
+      if (Kind.empty() || (Kind == OtherKind && Name == OtherName))
+        put(OtherKind, OtherName, Object["specification"]);
+}
+
 void store_stand_in::remove(const std::string &Kind, const std::string &Name) {
   // A restore may have lost it.
   if (!has(Kind, Name))
--- a/Tests/NodeProcesses/store_stand_in.h
+++ b/Tests/NodeProcesses/store_stand_in.h
@@ -32,6 +32,9 @@
   void writeLostAgain();
   [[nodiscard]] bool has(const std::string &Kind,
                          const std::string &Name) const;
+  /// Copies one object from \p Other, or all of them if \p Kind is empty.
+  void copyFrom(const store_stand_in &Other, const std::string &Kind = {},
+                const std::string &Name = {});
   /// Number of requests received, of any kind.
   int Calls = 0;
 
