Node: requests that reach no server are forwarded to another instance

Callers: 503, 502 or 504 at nodes that are cut off from all servers, while other nodes serve from the same servers. Cause: a node took "I reach no server" for "no server runs": it ejected each after a failed connect and refused the rest. The look-ups go on naming it, and callers keep their responses, so that leaving the look-ups alone leaves first tries unserved for seconds. Change: after three failed connects in two failure domains without a response in between a node counts as isolated; it then sends a request to another instance first, over HTTP to the port of the instances, and one every 500 ms to a server. A request that ran into unreachable servers goes the same way before that. The instance that read the request confirms the key, spends the account's token, counts the request and charges retries; the other one chooses the server, paces cold ones and states how many attempts reached a server, so that only a request that reached none goes on to a third. An older build has no listener there: the connection is refused and the next instance is asked. Seen: lines servers_unreachable, servers_reachable, forwarded; status servers_unreachable; amaranthhoist_requests_forwarded_total.

--- a/Libraries/Steering/account_plan.cpp
+++ b/Libraries/Steering/account_plan.cpp
@@ -31,6 +31,18 @@
   return !Route.IsPublic && !Table.Accounts.Accounts.empty();
 }
 
+static std::optional<refusal> applyFoundAccount(const route &Route,
+                                                const client_account &Account,
+                                                request_plan &Plan) {
+  Plan.Account = Account.Name;
+  Plan.Priority = Account.Priority.value_or(Plan.Priority);
+  auto Regions = commonRegions(Route.HomeRegions, Account.HomeRegions);
+  if (!Regions)
+    return refusal::NoCommonRegion;
+  Plan.HomeRegions = std::move(*Regions);
+  return std::nullopt;
+}
+
 std::optional<refusal> applyAccount(const route_table &Table,
                                     const route &Route, std::string_view ApiKey,
                                     request_plan &Plan) {
@@ -41,14 +53,25 @@
   const client_account *Account = findAccount(Table.Accounts, ApiKey);
   if (!Account)
     return refusal::NoAccount;
-  Plan.Account = Account->Name;
   Plan.KeyDigest = digestOf(ApiKey);
-  Plan.Priority = Account->Priority.value_or(Plan.Priority);
-  auto Regions = commonRegions(Route.HomeRegions, Account->HomeRegions);
-  if (!Regions)
-    return refusal::NoCommonRegion;
-  Plan.HomeRegions = std::move(*Regions);
-  return std::nullopt;
+  return applyFoundAccount(Route, *Account, Plan);
+}
+
+std::optional<refusal> applyNamedAccount(const route_table &Table,
+                                         const route &Route,
+                                         std::string_view Name,
+                                         request_plan &Plan) {
+  Plan.Version = Table.Configuration.Version;
+  Plan.HomeRegions = Route.HomeRegions;
+  if (!needsAccount(Table, Route))
+    return std::nullopt;
+  const auto &Accounts = Table.Accounts.Accounts;
+  const auto Account = std::find_if(
+      Accounts.begin(), Accounts.end(),
+      [&](const client_account &Each) { return Each.Name == Name; });
+  if (Account == Accounts.end())
+    return refusal::NoAccount;
+  return applyFoundAccount(Route, *Account, Plan);
 }
 
 std::optional<refusal> confirmAccount(const steering &Steering,
--- a/Libraries/Steering/account_plan.h
+++ b/Libraries/Steering/account_plan.h
@@ -11,6 +11,13 @@
                                     const route &Route, std::string_view ApiKey,
                                     request_plan &Plan);
 
+/// Like applyAccount() for a request that another instance forwards with the
+/// name of its account.
+std::optional<refusal> applyNamedAccount(const route_table &Table,
+                                         const route &Route,
+                                         std::string_view Name,
+                                         request_plan &Plan);
+
 /// Counts the regions that the request is bound to.
 void countHomes(steering &Steering, const request_plan &Plan);
 
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -158,7 +158,10 @@
   const route &Route = Table.Configuration.Routes[Index];
   request_plan Plan;
   Plan.Priority = Route.Priority;
-  if (const auto Refused = applyAccount(Table, Route, Facts.ApiKey, Plan))
+  const auto Refused =
+      Facts.IsForwarded ? applyNamedAccount(Table, Route, Facts.Account, Plan)
+                        : applyAccount(Table, Route, Facts.ApiKey, Plan);
+  if (Refused)
     return tl::unexpected(*Refused);
   // Without affinity any server is suitable, so each request hashes
   // differently.
@@ -174,7 +177,8 @@
   Plan.Deadline =
       Facts.Arrived +
       std::min(Route.Timeout, Facts.TimeLeft.value_or(Route.Timeout));
-  countRequest(Steering.RetryBudget, Plan.Service, Facts.Arrived);
+  if (!Facts.IsForwarded)
+    countRequest(Steering.RetryBudget, Plan.Service, Facts.Arrived);
   countHomes(Steering, Plan);
   return Plan;
 }
@@ -379,6 +383,19 @@
   return Candidate->Target;
 }
 
+bool hasUnreachableTargets(const steering &Steering, const request_plan &Plan,
+                           instant Now) {
+  auto Found = Steering.Targets.ByService.find(Plan.Service);
+  if (Found == Steering.Targets.ByService.end())
+    return false;
+  return std::any_of(Found->second.begin(), Found->second.end(),
+                     [&](const target *Target) {
+                       return Target->ConsecutiveConnectFailures > 0 &&
+                              Now < Target->EjectedUntil &&
+                              isHomeRegion(Plan.HomeRegions, Target->Region);
+                     });
+}
+
 void recordServerLoad(steering &Steering, target &Target,
                       const target_load &Load, instant Now) {
   recordLoadReport(Target, Load, Now);
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -148,6 +148,10 @@
   std::uint64_t Content = 0;
   /// The caller's API key; empty if there is none, or more than one.
   std::string_view ApiKey = {};
+  /// Another instance read the request, confirmed its account and counted it.
+  bool IsForwarded = false;
+  /// The account that it confirmed; empty if the route needs none.
+  std::string_view Account = {};
 };
 
 /// The longest timeout among the current routes.
@@ -212,6 +216,11 @@
 tl::expected<target *, refusal>
 chooseTarget(steering &Steering, const request_plan &Plan, instant Now);
 
+/// Whether servers that may run the request are excluded because no connection
+/// to them could be established.
+bool hasUnreachableTargets(const steering &Steering, const request_plan &Plan,
+                           instant Now);
+
 /// Records a load report from \p Target.
 void recordServerLoad(steering &Steering, target &Target,
                       const target_load &Load, instant Now);
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include "Quarantine/quarantine.h"
 #include "Text/text.h"
 #include "caller_server.h"
+#include "forwarding_fields.h"
 
 namespace amaranthhoist {
 
@@ -206,6 +207,17 @@
   return true;
 }
 
+static bool isForwardingField(std::string_view Name) {
+  return equalsIgnoringCase(Name, AttemptsLeftField) ||
+         equalsIgnoringCase(Name, ForwardedAccountField);
+}
+
+static forwarded_request parseForwarded(const message_head &Head) {
+  const auto AttemptsLeft = Head.find(AttemptsLeftField);
+  return {std::string(Head.find(ForwardedAccountField).value_or("")),
+          AttemptsLeft ? parseNumber<int>(*AttemptsLeft).value_or(1) : 1};
+}
+
 caller_request caller_connection::makeRequest() {
   const message_head &Head = Reader.head();
   const wire_names &Wire = Node.Wire;
@@ -221,8 +233,13 @@
   Request.ArrivedAt = RequestStartedAt;
   Request.HasBody = Head.find("content-length").has_value() ||
                     Head.find("transfer-encoding").has_value();
+  const bool IsFromPeer = Server.kind() == caller_kind::Peer;
+  if (IsFromPeer)
+    Request.Forwarded = parseForwarded(Head);
   for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
     const auto Field = Head.fieldAt(Index);
+    if (IsFromPeer && isForwardingField(Field.Name))
+      continue;
     // Fields that this node sets itself must not come from a caller, and the
     // caller's secret is for this node alone.
     const bool IsOurs = equalsIgnoringCase(Field.Name, Wire.ApiKey) ||
@@ -237,10 +254,12 @@
   }
   Request.Body = std::move(Reader.body());
   const client_account *Account = findAccount(Node.Steering, Request.ApiKey);
-  Request.Content =
-      contentHash({Request.Method, Request.Host, Request.Target,
-                   Request.ObjectKey, Head.find("authorization").value_or(""),
-                   Request.Body, Account ? Account->Name : std::string_view()});
+  std::string_view AccountName = Account ? Account->Name : std::string_view();
+  if (Request.Forwarded)
+    AccountName = Request.Forwarded->Account;
+  Request.Content = contentHash(
+      {Request.Method, Request.Host, Request.Target, Request.ObjectKey,
+       Head.find("authorization").value_or(""), Request.Body, AccountName});
   return Request;
 }
 
--- a/Services/Node/caller_server.cpp
+++ b/Services/Node/caller_server.cpp
@@ -12,8 +12,8 @@
 /// Descriptors reserved for servers, the store and files.
 static constexpr std::size_t ReservedDescriptors = 600;
 
-caller_server::caller_server(node &Node, target_pool &Pool)
-    : Node(Node), Pool(Pool) {}
+caller_server::caller_server(node &Node, target_pool &Pool, caller_kind Kind)
+    : Node(Node), Pool(Pool), Kind(Kind) {}
 
 caller_server::~caller_server() { stopListening(); }
 
--- a/Services/Node/caller_server.h
+++ b/Services/Node/caller_server.h
@@ -7,13 +7,21 @@
 #include "target_pool.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <cstdint>
 #include <memory>
 
 namespace amaranthhoist {
 
+/// Who connects to a server.
+enum class caller_kind : std::uint8_t {
+  Caller,
+  /// Another instance that forwards its callers' requests.
+  Peer,
+};
+
 class caller_server : private io_handler {
 public:
-  caller_server(node &Node, target_pool &Pool);
+  caller_server(node &Node, target_pool &Pool, caller_kind Kind);
   ~caller_server() override;
 
   result<bool> listen(const endpoint &Endpoint);
@@ -29,6 +37,7 @@
   /// operators can trace what happened to it.
   void logAborted();
 
+  [[nodiscard]] caller_kind kind() const { return Kind; }
   void retire(caller_connection &Connection);
   /// Owns an exchange whose caller has disconnected until it finishes.
   void adopt(std::unique_ptr<exchange> Exchange);
@@ -39,6 +48,7 @@
 
   node &Node;
   target_pool &Pool;
+  caller_kind Kind;
   int Listener = -1;
   timer_id AcceptRetryTimer = 0;
   absl::flat_hash_map<caller_connection *, std::unique_ptr<caller_connection>>
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -25,7 +25,9 @@
                    caller_request InitialRequest)
     : Node(Node), Pool(Pool), Caller(&Caller),
       Request(std::move(InitialRequest)),
-      ContentName(contentName(Request.Content)) {}
+      ContentName(contentName(Request.Content)) {
+  ++(Request.Forwarded ? Node.ForwardedInFlight : Node.OwnInFlight);
+}
 
 exchange::~exchange() {
   Node.Loop.cancel(DeadlineTimer);
@@ -35,6 +37,7 @@
   if (Target)
     recordResult(Node.Steering.Targets, *Target, attempt_result::Cancelled,
                  duration::zero(), Node.Loop.now());
+  --(Request.Forwarded ? Node.ForwardedInFlight : Node.OwnInFlight);
 }
 
 void exchange::start() {
@@ -42,6 +45,11 @@
     refuse(refusal::ShuttingDown);
     return;
   }
+  if (Request.Forwarded &&
+      !acceptsForwarded(Node.ForwardedInFlight - 1, Node.OwnInFlight)) {
+    refuse(refusal::Overloaded);
+    return;
+  }
   if (Node.isBootstrapping()) {
     // A refused request would be retried after a quarter of a second at the
     // earliest.
@@ -55,9 +63,18 @@
 }
 
 void exchange::planAndSend() {
-  const request_facts Facts{
-      Request.Host,     Request.path(),    Request.ObjectKey, Request.Id,
-      Request.TimeLeft, Request.ArrivedAt, Request.Content,   Request.ApiKey};
+  const request_facts Facts{Request.Host,
+                            Request.path(),
+                            Request.ObjectKey,
+                            Request.Id,
+                            Request.TimeLeft,
+                            Request.ArrivedAt,
+                            Request.Content,
+                            Request.ApiKey,
+                            Request.Forwarded.has_value(),
+                            Request.Forwarded
+                                ? std::string_view(Request.Forwarded->Account)
+                                : std::string_view()};
   auto Planned = planRequest(Node.Steering, Facts);
   if (!Planned) {
     refuse(Planned.error());
@@ -65,11 +82,16 @@
   }
   Plan = std::move(*Planned);
   HasPlan = true;
-  if (!Plan.Account.empty() && keysAreUnconfirmed()) {
+  if (Request.Forwarded) {
+    Plan.MaxAttempts =
+        std::min(Plan.MaxAttempts, Request.Forwarded->AttemptsLeft);
+  } else if (!Plan.Account.empty() && keysAreUnconfirmed()) {
     refuse(refusal::KeysUnconfirmed);
     return;
   }
-  UsesToken = !Plan.Account.empty() && Node.Quotas->isLimited(Plan.Account);
+  // The instance that forwards a request has spent a token for it.
+  UsesToken = !Request.Forwarded && !Plan.Account.empty() &&
+              Node.Quotas->isLimited(Plan.Account);
   DeadlineTimer =
       Node.Loop.runAfter(Plan.Deadline - Node.Loop.now() + DeadlineGrace,
                          [this] { onDeadline(); });
@@ -83,7 +105,9 @@
 }
 
 bool exchange::confirmCaller() {
-  const auto Refused = confirmAccount(Node.Steering, Plan);
+  // The instance that forwards a request has confirmed its caller.
+  const auto Refused =
+      Request.Forwarded ? std::nullopt : confirmAccount(Node.Steering, Plan);
   if (!Refused)
     return true;
   if (Plan.MayHaveRun)
@@ -96,9 +120,14 @@
 void exchange::attemptNext() {
   if (!confirmCaller())
     return;
+  if (skipsServers()) {
+    if (acquireQuota())
+      startForwarding(*findPeer());
+    return;
+  }
   auto Chosen = chooseTarget(Node.Steering, Plan, Node.Loop.now());
   if (!Chosen) {
-    refuse(Chosen.error());
+    forwardOrRefuse(Chosen.error());
     return;
   }
   if (acquireQuota())
@@ -205,11 +234,29 @@
   const duration Elapsed = Node.Loop.now() - AttemptStartedAt;
   recordResult(Node.Steering.Targets, *Target, Result, Elapsed,
                Node.Loop.now());
+  updateReachability(Result);
   Attempts.back().Elapsed = Elapsed;
   Attempts.back().Outcome = toString(Result);
   Target = nullptr;
 }
 
+void exchange::updateReachability(attempt_result Result) {
+  server_reachability &Reachability = Node.Forwarding.Reachability;
+  const instant Now = Node.Loop.now();
+  if (Result == attempt_result::Unreachable) {
+    if (recordConnectFailure(Reachability, Target->Entry.FailureDomain, Now))
+      Node.Log.write(log_kind::ClusterState, "servers_unreachable",
+                     {{"server", Target->Entry.Id}}, Now);
+    return;
+  }
+  const bool HasResponded = Result == attempt_result::Answered ||
+                            Result == attempt_result::Shed ||
+                            Result == attempt_result::Replaced;
+  if (HasResponded && recordServerResponse(Reachability))
+    Node.Log.write(log_kind::ClusterState, "servers_reachable",
+                   {{"server", Target->Entry.Id}}, Now);
+}
+
 void exchange::onConnectTimeout() {
   ConnectTimer = 0;
   if (!Connection || Connection->isConnected())
@@ -262,6 +309,8 @@
 }
 
 bool exchange::onHead(const message_head &Head) {
+  if (!Peer.empty())
+    return onPeerHead(Head);
   const auto Id = Head.find(Node.Wire.RequestId);
   // This is a late response to an earlier request on this connection.
   if (Id && *Id != Request.Id)
@@ -288,6 +337,10 @@
 }
 
 void exchange::onComplete() {
+  if (!Peer.empty()) {
+    onPeerComplete();
+    return;
+  }
   const bool WasReplaced = Status == 421;
   ++Plan.DeliveredAttempts;
   if (Connection->isReusable())
@@ -327,6 +380,10 @@
 }
 
 void exchange::onFailure(const call_failure &Failure) {
+  if (!Peer.empty()) {
+    onPeerFailure(Failure);
+    return;
+  }
   dropConnection();
   if (!Target)
     return;
@@ -366,12 +423,17 @@
   const bool TooManyUnreachable =
       Plan.Attempts - Plan.DeliveredAttempts >= MaxUnreachableTargets;
   auto Chosen = chooseTarget(Node.Steering, Plan, Now);
-  if (Chosen && !TooManyUnreachable && acquireRetryQuota() &&
+  const bool IsCutOff = isIsolated(Node.Forwarding.Reachability) && findPeer();
+  if (Chosen && !TooManyUnreachable && !IsCutOff && acquireRetryQuota() &&
       mayRetry(Node.Steering, Plan, Now)) {
     log(log_kind::RequestFailure, "repeat", "attempt_failed", 0);
     startAttempt(**Chosen);
     return;
   }
+  const bool HasNoServer = TooManyUnreachable || IsCutOff ||
+                           (!Chosen && Chosen.error() == refusal::NoTarget);
+  if (HasNoServer && retryAtPeer())
+    return;
   if (Plan.MayHaveRun) {
     giveUp(502, "attempt_failed");
     return;
@@ -391,6 +453,8 @@
       Plan.MayHaveRun || (Connection && Connection->isConnected());
   dropConnection();
   finishAttempt(attempt_result::TimedOut);
+  if (!Peer.empty())
+    finishForwarding(forwarding_result::Failed);
   if (IsStreaming) {
     log(log_kind::RequestFailure, "answer_cut", "deadline", Status);
     Caller->abortResponse();
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -16,6 +16,14 @@
 
 namespace amaranthhoist {
 
+/// What an instance that forwards a request states about it.
+struct forwarded_request {
+  /// The account whose key it confirmed; empty if the route needs none.
+  std::string Account;
+  /// Servers that the request may still be sent to.
+  int AttemptsLeft = 1;
+};
+
 /// A request as read from the caller.
 struct caller_request {
   std::string Id;
@@ -34,6 +42,8 @@
   std::uint64_t Content = 0;
   /// Whether a body was sent, even an empty one.
   bool HasBody = false;
+  /// Set if another instance forwards the request.
+  std::optional<forwarded_request> Forwarded;
   std::optional<duration> TimeLeft;
   instant ArrivedAt{};
 
@@ -111,8 +121,25 @@
   void keepToken() { HoldsToken = UsesToken; }
   void releaseToken();
   void startAttempt(target &Target);
+  /// Finds the instance that may serve the request instead of this one; nullptr
+  /// if there is none.
+  const fleet_member *findPeer() const;
+  /// Whether the request goes to another instance before any server is tried.
+  bool skipsServers();
+  /// Forwards the request if the servers are unreachable, else refuses it.
+  void forwardOrRefuse(refusal Reason);
+  /// Forwards the request after a failed attempt. Returns false if it may not
+  /// be sent again, or there is no instance for it.
+  bool retryAtPeer();
+  void startForwarding(const fleet_member &Peer);
+  std::string encodeForwarded() const;
+  bool onPeerHead(const message_head &Head);
+  void onPeerComplete();
+  void onPeerFailure(const call_failure &Failure);
+  void finishForwarding(forwarding_result Result);
   std::string encodeRequest(const target &Target) const;
   void finishAttempt(attempt_result Result);
+  void updateReachability(attempt_result Result);
   void dropConnection();
   void onConnectTimeout();
   void onDeadline();
@@ -183,6 +210,13 @@
   instant AttemptStartedAt{};
   bool ServerDidNotRun = false;
 
+  // The forwarding in flight, and those before it.
+  std::string Peer;
+  std::vector<std::string> TriedPeers;
+  /// Attempts that the peer states with a response of its own; empty for a
+  /// server's response.
+  std::optional<int> PeerAttempts;
+
   // The response.
   int Status = 0;
   std::string ResponseFields;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -1,5 +1,6 @@
 /// The part of an exchange that responds to the caller.
 #include "exchange.h"
+#include "forwarding_fields.h"
 
 #include "Text/text.h"
 
@@ -168,6 +169,8 @@
   if (Caller) {
     std::string Fields;
     appendField(Fields, Node.Wire.RequestId, Request.Id);
+    if (Request.Forwarded)
+      appendField(Fields, AttemptsField, cat(Plan.DeliveredAttempts));
     if (RetryAfter)
       appendField(Fields, "Retry-After", inSeconds(*RetryAfter));
     std::string Text = beginHead(OwnStatus, Fields, Caller->decideKeepAlive());
--- /dev/null
+++ b/Services/Node/exchange_forward.cpp
@@ -0,0 +1,205 @@
+/// The part of an exchange that forwards a request to another instance.
+#include "exchange.h"
+#include "forwarding_fields.h"
+
+#include "Text/text.h"
+
+namespace amaranthhoist {
+
+/// Instances that one request is forwarded to at most; each refuses within a
+/// round trip.
+static constexpr std::size_t MaxPeersPerRequest = 4;
+/// Instances are reached within a round trip between the farthest regions.
+static constexpr duration PeerConnectTimeout = std::chrono::milliseconds(250);
+static constexpr duration PeerAckTimeout = std::chrono::milliseconds(1'200);
+
+const fleet_member *exchange::findPeer() const {
+  if (Request.Forwarded || TriedPeers.size() >= MaxPeersPerRequest)
+    return nullptr;
+  return choosePeer(Node.Forwarding, Node.Fleet, Plan.HomeRegions, TriedPeers,
+                    stableHash(Request.Id), Node.Loop.now());
+}
+
+bool exchange::skipsServers() {
+  server_reachability &Reachability = Node.Forwarding.Reachability;
+  return isIsolated(Reachability) &&
+         !admitsTrial(Reachability, Node.Loop.now()) && findPeer();
+}
+
+void exchange::forwardOrRefuse(refusal Reason) {
+  const bool IsUnreachable =
+      Reason == refusal::NoTarget &&
+      hasUnreachableTargets(Node.Steering, Plan, Node.Loop.now());
+  const fleet_member *Member = IsUnreachable ? findPeer() : nullptr;
+  if (!Member)
+    refuse(Reason);
+  else if (acquireQuota())
+    startForwarding(*Member);
+}
+
+bool exchange::retryAtPeer() {
+  const fleet_member *Member = findPeer();
+  if (!Member || !acquireRetryQuota() ||
+      !mayRetry(Node.Steering, Plan, Node.Loop.now()))
+    return false;
+  startForwarding(*Member);
+  return true;
+}
+
+std::string exchange::encodeForwarded() const {
+  const duration Left = Plan.Deadline - Node.Loop.now();
+  // A retry of an account's request needs its key or a token, which this
+  // instance alone has.
+  const int AttemptsLeft =
+      Plan.Account.empty() ? Plan.MaxAttempts - Plan.DeliveredAttempts : 1;
+  std::string Text;
+  Text.reserve(256 + Request.Fields.size() + Request.Body.size());
+  append(Text, Request.Method, " ", Request.Target, " HTTP/1.1\r\n",
+         Request.Fields);
+  appendField(Text, Node.Wire.TimeLeft,
+              cat(std::max<std::int64_t>(1, Left.count() / 1'000)));
+  appendField(Text, AttemptsLeftField, cat(AttemptsLeft));
+  if (!Plan.Account.empty())
+    appendField(Text, ForwardedAccountField, Plan.Account);
+  if (Request.HasBody)
+    appendField(Text, "Content-Length", cat(Request.Body.size()));
+  append(Text, "\r\n", Request.Body);
+  return Text;
+}
+
+void exchange::startForwarding(const fleet_member &Member) {
+  HoldsToken = false;
+  HasResponseHead = false;
+  ServerDidNotRun = false;
+  PeerAttempts.reset();
+  Peer = Member.Name;
+  TriedPeers.push_back(Peer);
+  AttemptStartedAt = Node.Loop.now();
+  Attempts.push_back({Peer, AttemptStartedAt, {}, {}});
+  Node.Log.write(log_kind::Attempt, "forwarded",
+                 {{"request", Request.Id},
+                  {"content", ContentName},
+                  {"peer", Peer},
+                  {"version", configurationVersion(Node)},
+                  {"left_us", static_cast<std::int64_t>(
+                                  (Plan.Deadline - AttemptStartedAt).count())}},
+                 AttemptStartedAt);
+  Connection = std::make_unique<client_connection>(Node.Loop);
+  const auto Endpoint = parseEndpoint(Member.Peer);
+  if (!Endpoint || !Connection->connect(*Endpoint, PeerAckTimeout)) {
+    onPeerFailure({.NotConnected = true});
+    return;
+  }
+  ConnectTimer =
+      Node.Loop.runAfter(PeerConnectTimeout, [this] { onConnectTimeout(); });
+  Connection->call(*this, encodeForwarded(), Request.Method == "HEAD");
+}
+
+bool exchange::onPeerHead(const message_head &Head) {
+  const auto Id = Head.find(Node.Wire.RequestId);
+  if (Id && *Id != Request.Id)
+    return false;
+  Node.Loop.cancel(ConnectTimer);
+  HasResponseHead = true;
+  if (const auto Field = Head.find(AttemptsField))
+    PeerAttempts = parseNumber<int>(*Field);
+  ServerDidNotRun = PeerAttempts.has_value();
+  const bool ClaimsSuccess = Head.status() / 100 == 2;
+  if (ClaimsSuccess && (!Id || !Head.find(Node.Wire.Signature).has_value())) {
+    onPeerFailure({.HadResponseBytes = true, .IsMalformed = true});
+    return true;
+  }
+  storeResponseHead(Head);
+  return true;
+}
+
+/// Whether a response that an instance made itself states that the request has
+/// not run and never will.
+static bool promisesNotRun(int Status) {
+  return Status != 502 && Status != 504;
+}
+
+void exchange::onPeerComplete() {
+  dropConnection();
+  if (!PeerAttempts) {
+    Plan.MayHaveRun = true;
+    finishForwarding(forwarding_result::Served);
+    finishResponse();
+    return;
+  }
+  Plan.DeliveredAttempts += *PeerAttempts;
+  if (!promisesNotRun(Status)) {
+    Plan.MayHaveRun = true;
+    finishForwarding(forwarding_result::Served);
+    giveUp(Status, "peer_gave_up");
+    return;
+  }
+  keepToken();
+  const bool ReachedServers = *PeerAttempts > 0;
+  finishForwarding(ReachedServers ? forwarding_result::Served
+                                  : forwarding_result::Refused);
+  BufferedBody.clear();
+  if (!Caller) {
+    finish();
+    return;
+  }
+  if (!ReachedServers && confirmCaller() && retryAtPeer())
+    return;
+  if (Plan.MayHaveRun)
+    giveUp(502, "attempt_failed");
+  else
+    refuse(ReachedServers ? refusal::Overloaded : refusal::NoTarget);
+}
+
+void exchange::onPeerFailure(const call_failure &Failure) {
+  dropConnection();
+  finishForwarding(forwarding_result::Failed);
+  if (Failure.NotConnected) {
+    keepToken();
+  } else {
+    ++Plan.DeliveredAttempts;
+    Plan.MayHaveRun = true;
+  }
+  if (!Caller) {
+    finish();
+    return;
+  }
+  if (IsStreaming) {
+    log(log_kind::RequestFailure, "answer_cut", "peer_broke_off", Status);
+    Caller->abortResponse();
+    finish();
+    return;
+  }
+  BufferedBody.clear();
+  if (!confirmCaller() || retryAtPeer())
+    return;
+  if (Plan.MayHaveRun)
+    giveUp(502, "attempt_failed");
+  else
+    refuse(refusal::NoTarget);
+}
+
+static std::string_view toString(forwarding_result Result) {
+  switch (Result) {
+  case forwarding_result::Served:
+    return "served";
+  case forwarding_result::Refused:
+    return "refused";
+  case forwarding_result::Failed:
+    return "failed";
+  }
+  return "unknown";
+}
+
+void exchange::finishForwarding(forwarding_result Result) {
+  const instant Now = Node.Loop.now();
+  recordForwarding(Node.Forwarding, Peer, Result, Now);
+  Node.Metrics.incrementCounter(
+      cat("amaranthhoist_requests_forwarded_total{result=\"", toString(Result),
+          "\"}"));
+  Attempts.back().Elapsed = Now - AttemptStartedAt;
+  Attempts.back().Outcome = toString(Result);
+  Peer.clear();
+}
+
+} // namespace amaranthhoist
--- /dev/null
+++ b/Services/Node/forwarding_fields.h
@@ -0,0 +1,17 @@
+/// Header fields between an instance that forwards a request and the one that
+/// serves it. Valid only on connections to the address for other instances.
+#pragma once
+
+#include <string_view>
+
+namespace amaranthhoist {
+
+/// In requests: the number of servers that it may still be sent to.
+inline constexpr std::string_view AttemptsLeftField = "Forwarded-Attempts-Left";
+/// In requests: the account whose API key was confirmed.
+inline constexpr std::string_view ForwardedAccountField = "Forwarded-Account";
+/// In responses that the serving instance made itself: the number of attempts
+/// that reached a server. A server's response has no such field.
+inline constexpr std::string_view AttemptsField = "Forwarded-Attempts";
+
+} // namespace amaranthhoist
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -51,7 +51,8 @@
   node_program(node_settings Settings, const wire_names &Wire,
                std::string SettingsFile)
       : SettingsFile(std::move(SettingsFile)), Node(std::move(Settings), Wire),
-        Pool(Node), Callers(Node, Pool),
+        Pool(Node), Callers(Node, Pool, caller_kind::Caller),
+        ForwardingPeers(Node, Pool, caller_kind::Peer),
         Store(Node,
               [this](const auto &Address) { Peers.announceState(Address); }),
         Peers(
@@ -90,6 +91,8 @@
     TRY(Lookups.listen(TRY(parseEndpoint(Settings.Listen.Lookups))));
     TRY(Readiness.listen(TRY(parseEndpoint(Settings.Listen.Readiness))));
     TRY(Peers.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
+    // The same port as the datagrams', over TCP.
+    TRY(ForwardingPeers.listen(TRY(parseEndpoint(Settings.Listen.Peers))));
     TRY(PeerServer.listen(TRY(parseEndpoint(Settings.Listen.Control))));
     listenForMetrics();
     TRY(watchSignals());
@@ -219,10 +222,13 @@
 
   void checkShutdown(duration Grace) {
     const duration Passed = Node.Loop.now() - ShutdownStartedAt;
-    const bool IsOver = Passed >= MinShutdownTime && !Callers.isBusy();
+    const bool IsOver = Passed >= MinShutdownTime && !Callers.isBusy() &&
+                        !ForwardingPeers.isBusy();
     if (IsOver || Passed >= Grace - ShutdownMargin) {
       Callers.stopListening();
+      ForwardingPeers.stopListening();
       Callers.logAborted();
+      ForwardingPeers.logAborted();
       Node.Loop.stop();
       return;
     }
@@ -235,6 +241,7 @@
   retry_budget_log RetryLog{Node};
   target_pool Pool;
   caller_server Callers;
+  caller_server ForwardingPeers;
   store_sync Store;
   peer_link Peers;
   quota_link Quotas;
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -5,6 +5,7 @@
 #include "EventLog/event_log.h"
 #include "EventLoop/event_loop.h"
 #include "Fleet/fleet.h"
+#include "Forwarding/forwarding.h"
 #include "HttpConnection/client_connection.h"
 #include "Metrics/metrics.h"
 #include "NodeSettings/node_settings.h"
@@ -78,6 +79,10 @@
   metrics_registry Metrics;
   steering Steering;
   fleet Fleet;
+  forwarding Forwarding;
+  /// Requests in flight for this node's callers, and for other instances.
+  std::size_t OwnInFlight = 0;
+  std::size_t ForwardedInFlight = 0;
   /// Set by the program before it serves anything.
   quota_link *Quotas = nullptr;
   /// Lower bound of the time since the held state was fresh at the store.
