--- a/Tests/NodeProcesses/forwarding_test.cpp
+++ b/Tests/NodeProcesses/forwarding_test.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <array>
+#include <csignal>
 #include <map>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -41,12 +42,24 @@
   std::array<int, 4> Fillers{};
 };
 
+struct cut_options {
+  /// Connections to servers hang instead of being refused.
+  bool ConnectionsHang = false;
+  bool HasAccounts = false;
+  std::vector<std::string> RouteRegions;
+};
+
 /// Nodes "n1" and "n2" reach the servers; "cut" has its own copy of the store,
-/// in which the servers are listed at addresses that it can't reach. All are in
-/// one region; the servers are in two failure domains.
+/// in which the servers are listed at addresses that it can't reach. The first
+/// two are in region "a", "cut" in region "b"; the servers are in two failure
+/// domains.
 struct cut_fleet : node_fleet {
-  explicit cut_fleet(bool ConnectionsHang = false) : node_fleet(nodeProgram()) {
+  explicit cut_fleet(const cut_options &Options = {})
+      : node_fleet(nodeProgram()) {
     HasSeeds = false;
+    RouteRegions = Options.RouteRegions;
+    if (Options.HasAccounts)
+      Accounts = {{"one", {{"api_keys", {"key-of-one"}}}}};
     putConfiguration(1);
     for (const auto &[Id, Domain] : Domains)
       addTarget(Id, Domain);
@@ -57,7 +70,7 @@
     }
     CutStore.copyFrom(Store);
     for (const auto &[Id, Target] : Targets)
-      cut(*Target, ConnectionsHang ? Silent.Address : freeAddress());
+      cut(*Target, Options.ConnectionsHang ? Silent.Address : freeAddress());
     Cut = &addNode("cut", "b1", "b");
     Cut->Store = CutStore.address();
     start(*Cut);
@@ -78,6 +91,29 @@
       cut(*Target, Target->address());
   }
 
+  /// Lists the servers at unreachable addresses for the other nodes too.
+  void cutAll() {
+    for (const auto &[Id, Target] : Targets)
+      listTarget(*Target, Domains.at(Id), "ready", freeAddress());
+  }
+
+  void setAll(behavior Behavior) {
+    for (auto &[Id, Target] : Targets)
+      Target->Behavior = Behavior;
+  }
+
+  std::vector<std::string> abandoned() {
+    std::vector<std::string> Requests;
+    for (auto &[Id, Target] : Targets)
+      Requests.insert(Requests.end(), Target->Abandoned.begin(),
+                      Target->Abandoned.end());
+    return Requests;
+  }
+
+  bool waitForRun(const std::string &Id) {
+    return runUntil([&] { return runsOf(*this, Id) == 1; });
+  }
+
   /// Sends requests one after the other. Returns how many were served.
   int askMany(std::string_view Path, int Count, std::string_view Method) {
     int Served = 0;
@@ -114,8 +150,140 @@
 
 // Failure: the same with connections that hang instead of being refused.
 TEST(Forwarding, HangingConnectionsDoNotKeepCallersWaiting) {
-  cut_fleet Fleet(/*ConnectionsHang=*/true);
+  cut_fleet Fleet({.ConnectionsHang = true});
   CHECK(Fleet.IsReady);
   LONGS_EQUAL(20, Fleet.askMany("/safe/x", 20, "GET"));
   LONGS_EQUAL(20, Fleet.askMany("/once/x", 20, "POST"));
 }
+
+// Failure: a non-idempotent request whose response is lost behind another node
+// is sent again, or its caller is told that it has not run.
+TEST(Forwarding, LostResponsesAreNotRefusals) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.setAll(behavior::LosesResponses);
+  for (int Request = 0; Request < 10; ++Request) {
+    const std::string Id = cat("once-", Request);
+    LONGS_EQUAL(502, Fleet.fetch(*Fleet.Cut, "/once/x", Id, "POST").Status);
+    LONGS_EQUAL(1, runsOf(Fleet, Id));
+  }
+}
+
+// Failure: the caller of a request that no server ran isn't told so.
+TEST(Forwarding, RejectedRequestsAreRefusedWithRetryAfter) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.setAll(behavior::Sheds);
+  const auto Response = Fleet.fetch(*Fleet.Cut, "/once/x", "id-1", "POST");
+  LONGS_EQUAL(503, Response.Status);
+  CHECK(!Response.RetryAfter.empty());
+  LONGS_EQUAL(0, runsOf(Fleet, "id-1"));
+}
+
+// Failure: work goes on at a server though the caller has left the node that
+// forwarded its request; or non-idempotent work is broken off.
+TEST(Forwarding, DisconnectCancelsOnlyIdempotentRequests) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->Work = std::chrono::seconds(30);
+  auto Safe = Fleet.startRequest(*Fleet.Cut, "/safe/x", "id-1");
+  auto Once = Fleet.startRequest(*Fleet.Cut, "/once/x", "id-2", "POST", "body");
+  CHECK(Fleet.waitForRun("id-1"));
+  CHECK(Fleet.waitForRun("id-2"));
+  Safe->disconnect();
+  Once->disconnect();
+  CHECK(Fleet.runUntil([&] { return !Fleet.abandoned().empty(); }));
+  Fleet.runFor(std::chrono::milliseconds(500));
+  LONGS_EQUAL(1, Fleet.abandoned().size());
+  STRCMP_EQUAL("id-1", Fleet.abandoned().front().c_str());
+}
+
+// Failure: a node dies while it serves another node's request, which is lost,
+// or runs twice.
+TEST(Forwarding, ServingNodeDies) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->Work = std::chrono::milliseconds(500);
+  auto Safe = Fleet.startRequest(*Fleet.Cut, "/safe/x", "id-1");
+  auto Once = Fleet.startRequest(*Fleet.Cut, "/once/x", "id-2", "POST", "body");
+  CHECK(Fleet.waitForRun("id-1"));
+  CHECK(Fleet.waitForRun("id-2"));
+  Fleet.signal(*Fleet.Nodes.front(), SIGKILL);
+  CHECK(Fleet.runUntil([&] {
+    return Safe->response().IsCompleted && Once->response().IsCompleted;
+  }));
+  LONGS_EQUAL(200, Safe->response().Status);
+  CHECK(Once->response().Status == 200 || Once->response().Status == 502);
+  LONGS_EQUAL(1, runsOf(Fleet, "id-2"));
+}
+
+// Failure: all nodes are cut off and send the requests round among them, or
+// let their callers wait.
+TEST(Forwarding, RequestsAreRefusedWhenNoNodeReachesAServer) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.cutAll();
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.fetch(*Fleet.Nodes[0], "/safe/x", "probe").Status == 503 &&
+           Fleet.fetch(*Fleet.Nodes[1], "/safe/x", "probe").Status == 503;
+  }));
+  for (int Request = 0; Request < 10; ++Request) {
+    const auto Response =
+        Fleet.fetch(*Fleet.Cut, "/safe/x", cat("id-", Request));
+    LONGS_EQUAL(503, Response.Status);
+    CHECK(!Response.RetryAfter.empty());
+  }
+}
+
+// Failure: a node goes on forwarding after it reaches the servers again.
+TEST(Forwarding, NodeReturnsToTheServers) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  LONGS_EQUAL(10, Fleet.askMany("/safe/x", 10, "GET"));
+  CHECK(Fleet.logOf(*Fleet.Cut).find("servers_unreachable") !=
+        std::string::npos);
+  Fleet.reconnect();
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.askMany("/safe/x", 1, "GET") == 1 &&
+           Fleet.logOf(*Fleet.Cut).find("servers_reachable") !=
+               std::string::npos;
+  }));
+  LONGS_EQUAL(10, Fleet.askMany("/safe/x", 10, "GET"));
+}
+
+// Failure: a request leaves the regions that its route allows.
+TEST(Forwarding, RequestsStayInTheirHomeRegions) {
+  cut_fleet Fleet({.RouteRegions = {"b"}});
+  CHECK(Fleet.IsReady);
+  LONGS_EQUAL(0, Fleet.askMany("/safe/x", 5, "GET"));
+  for (const std::size_t Other : {0, 1})
+    CHECK(Fleet.logOf(*Fleet.Nodes[Other]).find("id-1") == std::string::npos);
+}
+
+// Failure: an API key is passed on to another node or a server, or a server
+// isn't told the account.
+TEST(Forwarding, AccountsAreConfirmedWhereTheRequestWasRead) {
+  cut_fleet Fleet({.HasAccounts = true});
+  CHECK(Fleet.IsReady);
+  Fleet.Fields = "Api-Key: key-of-one\r\n";
+  LONGS_EQUAL(5, Fleet.askMany("/safe/x", 5, "GET"));
+  Fleet.Fields = "Api-Key: wrong\r\n";
+  LONGS_EQUAL(401, Fleet.fetch(*Fleet.Cut, "/safe/x", "id-9").Status);
+  int Runs = 0;
+  for (const auto &[Id, Target] : Fleet.Targets) {
+    Runs += Target->RunsByAccount["one"];
+    LONGS_EQUAL(0, Target->KeysReceived);
+  }
+  LONGS_EQUAL(5, Runs);
+}
+
+// Failure: a caller names an account to a node as if another node had confirmed
+// it.
+TEST(Forwarding, CallersCanNotNameAnAccount) {
+  cut_fleet Fleet({.HasAccounts = true});
+  CHECK(Fleet.IsReady);
+  Fleet.Fields = "Forwarded-Account: one\r\nForwarded-Attempts-Left: 1\r\n";
+  LONGS_EQUAL(401, Fleet.fetch(*Fleet.Nodes[0], "/safe/x", "id-1").Status);
+}
