--- a/Libraries/RequestTrace/request_trace.cpp
+++ b/Libraries/RequestTrace/request_trace.cpp
@@ -119,8 +119,9 @@
 }
 
 static bool isProcessLine(const log_line &Line) {
-  static constexpr std::array<std::string_view, 3> Events = {
-      "started", "leaving", "stopped"};
+  static constexpr std::array<std::string_view, 5> Events = {
+      "started", "leaving", "stopped", "servers_unreachable",
+      "servers_reachable"};
   return std::find(Events.begin(), Events.end(), Line.Event) != Events.end();
 }
 
--- a/Services/Node/target_pool.h
+++ b/Services/Node/target_pool.h
@@ -31,6 +31,8 @@
   /// Returns a connection to the pool, or closes it.
   void release(const target &Target,
                std::unique_ptr<client_connection> Connection);
+  /// Closes all pooled connections.
+  void closeIdle() { Idle.clear(); }
   /// Called when a connection to \p Target broke while a request with that
   /// content was in flight.
   void onConnectionBroken(const target &Target, std::uint64_t Content) {
