Node: a peer that dies counts for all attempts that it may have made

Callers: a request could reach more servers than its route's maximum. Cause: when the instance that serves a forwarded request died, one attempt was counted, though it may have made several. Change: the instance that forwards keeps one attempt back, and counts all that it allowed when the connection breaks. Isolation is recorded beside the forwarding it leads to. Found by reading; ServingNodeDies (a death behind a safe and a non-idempotent request) passes before and after. build/node-forwarding-tests: 11 tests, OK.

--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -240,23 +240,6 @@
   Target = nullptr;
 }
 
-void exchange::updateReachability(attempt_result Result) {
-  server_reachability &Reachability = Node.Forwarding.Reachability;
-  const instant Now = Node.Loop.now();
-  if (Result == attempt_result::Unreachable) {
-    if (recordConnectFailure(Reachability, Target->Entry.FailureDomain, Now))
-      Node.Log.write(log_kind::ClusterState, "servers_unreachable",
-                     {{"server", Target->Entry.Id}}, Now);
-    return;
-  }
-  const bool HasResponded = Result == attempt_result::Answered ||
-                            Result == attempt_result::Shed ||
-                            Result == attempt_result::Replaced;
-  if (HasResponded && recordServerResponse(Reachability))
-    Node.Log.write(log_kind::ClusterState, "servers_reachable",
-                   {{"server", Target->Entry.Id}}, Now);
-}
-
 void exchange::onConnectTimeout() {
   ConnectTimer = 0;
   if (!Connection || Connection->isConnected())
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -132,6 +132,7 @@
   /// be sent again, or there is no instance for it.
   bool retryAtPeer();
   void startForwarding(const fleet_member &Peer);
+  [[nodiscard]] int attemptsForPeer() const;
   std::string encodeForwarded() const;
   bool onPeerHead(const message_head &Head);
   void onPeerComplete();
--- a/Services/Node/exchange_forward.cpp
+++ b/Services/Node/exchange_forward.cpp
@@ -13,6 +13,27 @@
 static constexpr duration PeerConnectTimeout = std::chrono::milliseconds(250);
 static constexpr duration PeerAckTimeout = std::chrono::milliseconds(1'200);
 
+void exchange::updateReachability(attempt_result Result) {
+  server_reachability &Reachability = Node.Forwarding.Reachability;
+  const instant Now = Node.Loop.now();
+  if (Result == attempt_result::Unreachable) {
+    if (!recordConnectFailure(Reachability, Target->Entry.FailureDomain, Now))
+      return;
+    // A trial on a connection that has gone silent would last until its
+    // deadline.
+    Pool.closeIdle();
+    Node.Log.write(log_kind::ClusterState, "servers_unreachable",
+                   {{"server", Target->Entry.Id}}, Now);
+    return;
+  }
+  const bool HasResponded = Result == attempt_result::Answered ||
+                            Result == attempt_result::Shed ||
+                            Result == attempt_result::Replaced;
+  if (HasResponded && recordServerResponse(Reachability))
+    Node.Log.write(log_kind::ClusterState, "servers_reachable",
+                   {{"server", Target->Entry.Id}}, Now);
+}
+
 const fleet_member *exchange::findPeer() const {
   if (Request.Forwarded || TriedPeers.size() >= MaxPeersPerRequest)
     return nullptr;
@@ -46,19 +67,24 @@
   return true;
 }
 
+/// The number of servers that the peer may send the request to. One attempt is
+/// kept for the case that the peer dies and it is unknown how many it made. A
+/// retry of an account's request needs its key or a token, which this instance
+/// alone has.
+int exchange::attemptsForPeer() const {
+  const int Left = Plan.MaxAttempts - Plan.DeliveredAttempts;
+  return Plan.Account.empty() ? std::max(1, Left - 1) : 1;
+}
+
 std::string exchange::encodeForwarded() const {
   const duration Left = Plan.Deadline - Node.Loop.now();
-  // A retry of an account's request needs its key or a token, which this
-  // instance alone has.
-  const int AttemptsLeft =
-      Plan.Account.empty() ? Plan.MaxAttempts - Plan.DeliveredAttempts : 1;
   std::string Text;
   Text.reserve(256 + Request.Fields.size() + Request.Body.size());
   append(Text, Request.Method, " ", Request.Target, " HTTP/1.1\r\n",
          Request.Fields);
   appendField(Text, Node.Wire.TimeLeft,
               cat(std::max<std::int64_t>(1, Left.count() / 1'000)));
-  appendField(Text, AttemptsLeftField, cat(AttemptsLeft));
+  appendField(Text, AttemptsLeftField, cat(attemptsForPeer()));
   if (!Plan.Account.empty())
     appendField(Text, ForwardedAccountField, Plan.Account);
   if (Request.HasBody)
@@ -157,7 +183,7 @@
   if (Failure.NotConnected) {
     keepToken();
   } else {
-    ++Plan.DeliveredAttempts;
+    Plan.DeliveredAttempts += attemptsForPeer();
     Plan.MayHaveRun = true;
   }
   if (!Caller) {
