Node: only refusals that concern a peer alone are asked elsewhere

Callers: while servers are full, a forwarded request was refused by one node after the other, and each then counted as unavailable for a second, so that requests with room were refused too. Cause: a refusal before any attempt was taken as "this peer can't", whatever its reason. Change: the serving node states whether its refusal concerns it alone (no server reachable, shutting down, its limit of forwarded requests, an other configuration). Any other is final. The limit has a reason of its own, forwarding_limit.

--- a/Libraries/Forwarding/forwarding.h
+++ b/Libraries/Forwarding/forwarding.h
@@ -65,7 +65,7 @@
 /// The result of a request at the instance that it was forwarded to.
 enum class forwarding_result : std::uint8_t {
   Served,
-  /// Refused before it was sent to any server.
+  /// Refused for a reason that concerns that instance alone.
   Refused,
   /// No connection, or one that broke.
   Failed,
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -69,40 +69,6 @@
 /// the share is a little less, to leave time for the transfer.
 static constexpr double RetryAfterShare = 0.3;
 
-std::string_view toString(refusal Reason) {
-  switch (Reason) {
-  case refusal::NotConfigured:
-    return "not_configured";
-  case refusal::NoRoute:
-    return "no_route";
-  case refusal::NoAccount:
-    return "no_account";
-  case refusal::NoCommonRegion:
-    return "no_common_region";
-  case refusal::OverLimit:
-    return "over_limit";
-  case refusal::LimitUnknown:
-    return "limit_unknown";
-  case refusal::KeysUnconfirmed:
-    return "keys_unconfirmed";
-  case refusal::NoTarget:
-    return "no_target";
-  case refusal::BackingOff:
-    return "resting";
-  case refusal::Overloaded:
-    return "no_room";
-  case refusal::TooLate:
-    return "too_late";
-  case refusal::RetryBudgetExhausted:
-    return "no_repeats";
-  case refusal::Quarantined:
-    return "quarantined";
-  case refusal::ShuttingDown:
-    return "leaving";
-  }
-  return "unknown";
-}
-
 bool applyConfiguration(steering &Steering, configuration Configuration) {
   if (Steering.Routes &&
       Configuration.Version <= Steering.Routes->Configuration.Version)
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -128,11 +128,17 @@
   Quarantined,
   /// This instance is shutting down and could not complete the request in time.
   ShuttingDown,
+  /// This instance serves as many requests of other instances as it may.
+  ForwardingLimit,
 };
 
 /// The name of a refusal in logs and metrics.
 std::string_view toString(refusal Reason);
 
+/// Whether a refusal concerns the instance rather than the request or the
+/// servers, so that another instance may serve the request.
+bool mayBeServedElsewhere(refusal Reason);
+
 /// The attributes of a request that routing depends on.
 struct request_facts {
   std::string_view Host;
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -47,7 +47,7 @@
   }
   if (Request.Forwarded &&
       !acceptsForwarded(Node.ForwardedInFlight - 1, Node.OwnInFlight)) {
-    refuse(refusal::Overloaded);
+    refuse(refusal::ForwardingLimit);
     return;
   }
   if (Node.isBootstrapping()) {
@@ -406,14 +406,15 @@
   const bool TooManyUnreachable =
       Plan.Attempts - Plan.DeliveredAttempts >= MaxUnreachableTargets;
   auto Chosen = chooseTarget(Node.Steering, Plan, Now);
-  const bool IsCutOff = isIsolated(Node.Forwarding.Reachability) && findPeer();
-  if (Chosen && !TooManyUnreachable && !IsCutOff && acquireRetryQuota() &&
+  const bool GoesToPeer =
+      isIsolated(Node.Forwarding.Reachability) && findPeer();
+  if (Chosen && !TooManyUnreachable && !GoesToPeer && acquireRetryQuota() &&
       mayRetry(Node.Steering, Plan, Now)) {
     log(log_kind::RequestFailure, "repeat", "attempt_failed", 0);
     startAttempt(**Chosen);
     return;
   }
-  const bool HasNoServer = TooManyUnreachable || IsCutOff ||
+  const bool HasNoServer = TooManyUnreachable || GoesToPeer ||
                            (!Chosen && Chosen.error() == refusal::NoTarget);
   if (HasNoServer && retryAtPeer())
     return;
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -217,8 +217,12 @@
   /// Attempts that the peer states with a response of its own; empty for a
   /// server's response.
   std::optional<int> PeerAttempts;
+  /// The peer's refusal concerns it alone.
+  bool PeerRefusedAlone = false;
 
   // The response.
+  /// This node refused a request that another one may serve.
+  bool RefusedHereAlone = false;
   int Status = 0;
   std::string ResponseFields;
   std::string BufferedBody;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -147,6 +147,7 @@
     logRefusal(toString(Reason), OwnStatus, *Return);
   else
     log(log_kind::RequestFailure, "gave_up", toString(Reason), OwnStatus);
+  RefusedHereAlone = mayBeServedElsewhere(Reason);
   sendOwnResponse(OwnStatus, Return, toString(Reason));
 }
 
@@ -171,6 +172,8 @@
     appendField(Fields, Node.Wire.RequestId, Request.Id);
     if (Request.Forwarded)
       appendField(Fields, AttemptsField, cat(Plan.DeliveredAttempts));
+    if (Request.Forwarded && RefusedHereAlone)
+      appendField(Fields, AskOthersField, "1");
     if (RetryAfter)
       appendField(Fields, "Retry-After", inSeconds(*RetryAfter));
     std::string Text = beginHead(OwnStatus, Fields, Caller->decideKeepAlive());
--- a/Services/Node/exchange_forward.cpp
+++ b/Services/Node/exchange_forward.cpp
@@ -129,6 +129,7 @@
   HasResponseHead = true;
   if (const auto Field = Head.find(AttemptsField))
     PeerAttempts = parseNumber<int>(*Field);
+  PeerRefusedAlone = Head.find(AskOthersField).has_value();
   ServerDidNotRun = PeerAttempts.has_value();
   const bool ClaimsSuccess = Head.status() / 100 == 2;
   if (ClaimsSuccess && (!Id || !Head.find(Node.Wire.Signature).has_value())) {
@@ -161,20 +162,20 @@
     return;
   }
   keepToken();
-  const bool ReachedServers = *PeerAttempts > 0;
-  finishForwarding(ReachedServers ? forwarding_result::Served
-                                  : forwarding_result::Refused);
+  const bool AsksOthers = PeerRefusedAlone && *PeerAttempts == 0;
+  finishForwarding(AsksOthers ? forwarding_result::Refused
+                              : forwarding_result::Served);
   BufferedBody.clear();
   if (!Caller) {
     finish();
     return;
   }
-  if (!ReachedServers && confirmCaller() && retryAtPeer())
+  if (AsksOthers && (!confirmCaller() || retryAtPeer()))
     return;
   if (Plan.MayHaveRun)
     giveUp(502, "attempt_failed");
   else
-    refuse(ReachedServers ? refusal::Overloaded : refusal::NoTarget);
+    refuse(AsksOthers ? refusal::NoTarget : refusal::Overloaded);
 }
 
 void exchange::onPeerFailure(const call_failure &Failure) {
--- a/Services/Node/forwarding_fields.h
+++ b/Services/Node/forwarding_fields.h
@@ -14,4 +14,8 @@
 /// that reached a server. A server's response has no such field.
 inline constexpr std::string_view AttemptsField = "Forwarded-Attempts";
 
+/// In such responses: the refusal concerns the instance alone, and another one
+/// may serve the request.
+inline constexpr std::string_view AskOthersField = "Forwarded-Ask-Others";
+
 } // namespace amaranthhoist
--- a/Tests/NodeProcesses/forwarding_test.cpp
+++ b/Tests/NodeProcesses/forwarding_test.cpp
@@ -71,11 +71,16 @@
     CutStore.copyFrom(Store);
     for (const auto &[Id, Target] : Targets)
       cut(*Target, Options.ConnectionsHang ? Silent.Address : freeAddress());
-    Cut = &addNode("cut", "b1", "b");
-    Cut->Store = CutStore.address();
-    start(*Cut);
-    IsReady = waitReady(*Cut) && waitListed(CutStore, "cut") && IsReady;
-    Store.copyFrom(CutStore, "instances", "cut");
+    Cut = &addCutNode("cut");
+  }
+
+  node_process &addCutNode(const std::string &Name) {
+    node_process &Node = addNode(Name, "b1", "b");
+    Node.Store = CutStore.address();
+    start(Node);
+    IsReady = waitReady(Node) && waitListed(CutStore, Name) && IsReady;
+    Store.copyFrom(CutStore, "instances", Name);
+    return Node;
   }
 
   bool waitListed(store_stand_in &Where, const std::string &Name) {
@@ -287,3 +292,65 @@
   Fleet.Fields = "Forwarded-Account: one\r\nForwarded-Attempts-Left: 1\r\n";
   LONGS_EQUAL(401, Fleet.fetch(*Fleet.Nodes[0], "/safe/x", "id-1").Status);
 }
+
+// Failure: all nodes of a failure domain are cut off, and each forwards to the
+// others of its domain.
+TEST(Forwarding, NodesOfACutOffDomainAreServedByOtherDomains) {
+  cut_fleet Fleet;
+  for (const char *Name : {"cut-2", "cut-3"})
+    Fleet.addCutNode(Name);
+  CHECK(Fleet.IsReady);
+  const std::vector<node_process *> CutNodes = {Fleet.Cut, Fleet.Nodes[3].get(),
+                                                Fleet.Nodes[4].get()};
+  for (int Round = 0; Round < 20; ++Round)
+    for (node_process *Node : CutNodes) {
+      Fleet.Cut = Node;
+      LONGS_EQUAL(1, Fleet.askMany("/safe/x", 1, "GET"));
+      LONGS_EQUAL(1, Fleet.askMany("/once/x", 1, "POST"));
+    }
+  for (int Id = 1; Id <= Fleet.Asked; ++Id)
+    LONGS_EQUAL(1, runsOf(Fleet, cat("id-", Id)));
+}
+
+// Failure: a cut-off node goes on with the earlier configuration, because the
+// nodes that serve its requests decide by theirs.
+TEST(Forwarding, ConfigurationChangesApplyToForwardedRequests) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  LONGS_EQUAL(404, Fleet.fetch(*Fleet.Cut, "/extra/x", "id-a").Status);
+  Fleet.putConfiguration(2, /*HasExtra=*/true);
+  Fleet.CutStore.copyFrom(Fleet.Store, "config", "main");
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.fetch(*Fleet.Cut, "/extra/x", "id-b").Status == 200;
+  }));
+  Fleet.putConfiguration(3);
+  Fleet.CutStore.copyFrom(Fleet.Store, "config", "main");
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.fetch(*Fleet.Cut, "/extra/x", "id-c").Status == 404;
+  }));
+}
+
+// Failure: the servers are full, and each request is refused by one node after
+// the other, which then count as unavailable.
+TEST(Forwarding, RefusalsForLoadAreFinal) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->Load = "4,4000,4";
+  // The other nodes get the load reports.
+  for (std::size_t Other : {0, 1})
+    CHECK(Fleet.runUntil([&] {
+      const std::string Id = cat("load-", ++Fleet.Asked);
+      return Fleet.fetch(*Fleet.Nodes[Other], "/once/x", Id, "POST").Status ==
+             503;
+    }));
+  // A report ages, and the next request then reaches a server.
+  CHECK(Fleet.runUntil([&] {
+    const std::string Id = cat("cut-", ++Fleet.Asked);
+    return Fleet.fetch(*Fleet.Cut, "/once/x", Id, "POST").Status == 503;
+  }));
+  const auto CutLog = [&] { return Fleet.logOf(*Fleet.Cut); };
+  CHECK(Fleet.runUntil(
+      [&] { return CutLog().find("no_room") != std::string::npos; }));
+  CHECK(CutLog().find("refused after") == std::string::npos);
+}
