Node: a request that found three servers unreachable has no server

Callers: at a node whose whole failure domain is cut off, some requests were refused though other nodes could serve them. Cause: after three unreachable servers the refusal's reason was the retry budget (no_repeats), which nobody has used; a peer that refused a forwarded request for it counted as having decided for all. Change: the reason is that there is no server (no_target).

--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -422,7 +422,10 @@
     giveUp(502, "attempt_failed");
     return;
   }
-  refuse(Chosen ? refusal::RetryBudgetExhausted : Chosen.error());
+  if (TooManyUnreachable)
+    refuse(refusal::NoTarget);
+  else
+    refuse(Chosen ? refusal::RetryBudgetExhausted : Chosen.error());
 }
 
 void exchange::onDeadline() {
