Forwarding: after a refusal other failure domains are asked first

Callers: at a node of a large failure domain that is cut off as a whole, each request would ask four of its neighbours, who reach no server either; eight refusals suspend forwarding for as long as they are left out, so that no other domain is ever asked. Cause: the nearest instances came first, however many had refused. Change: failure domains in which an instance refused this request come last.

--- a/Libraries/Forwarding/forwarding.cpp
+++ b/Libraries/Forwarding/forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace amaranthhoist {
 
@@ -46,8 +47,25 @@
   return true;
 }
 
-/// Smaller is nearer.
-static int distanceTo(const fleet &Fleet, const fleet_member &Member) {
+static std::vector<std::string_view>
+domainsOf(const fleet &Fleet, std::span<const std::string> Names) {
+  std::vector<std::string_view> Domains;
+  for (const std::string &Name : Names)
+    if (const auto Found = Fleet.Members.find(Name);
+        Found != Fleet.Members.end())
+      Domains.emplace_back(Found->second.FailureDomain);
+  return Domains;
+}
+
+/// Smaller is nearer. A failure domain in which an instance has refused may be
+/// cut off as a whole, and comes last.
+static int distanceTo(const fleet &Fleet, const fleet_member &Member,
+                      std::span<const std::string_view> TriedDomains) {
+  constexpr int Last = 3;
+  const bool WasTried = std::find(TriedDomains.begin(), TriedDomains.end(),
+                                  Member.FailureDomain) != TriedDomains.end();
+  if (WasTried)
+    return Last;
   if (Member.FailureDomain == Fleet.Own.FailureDomain)
     return 0;
   return Member.Region == Fleet.Own.Region ? 1 : 2;
@@ -75,6 +93,7 @@
                                std::uint64_t Hash, instant Now) {
   if (Now < Forwarding.SuspendedUntil)
     return nullptr;
+  const std::vector<std::string_view> TriedDomains = domainsOf(Fleet, Tried);
   const fleet_member *Best = nullptr;
   int BestDistance = 0;
   double BestRank = 0;
@@ -88,7 +107,7 @@
     if (IsUnavailable || !IsHome || contains(Tried, Name) ||
         !isUp(Fleet.Membership, Name))
       continue;
-    const int Distance = distanceTo(Fleet, Member);
+    const int Distance = distanceTo(Fleet, Member, TriedDomains);
     const double Rank = rankOf(Member, Hash);
     if (Best && (Distance > BestDistance ||
                  (Distance == BestDistance && Rank >= BestRank)))
--- a/Libraries/Forwarding/forwarding.h
+++ b/Libraries/Forwarding/forwarding.h
@@ -56,7 +56,8 @@
 /// Chooses the instance for a request: one of the own failure domain, else of
 /// the own region, else any; among them in proportion to capacity, by \p Hash.
 /// Only instances in one of \p HomeRegions are chosen, unless that is empty.
-/// \p Tried are left out. Returns nullptr if there is none.
+/// \p Tried are left out, and their failure domains come last. Returns nullptr
+/// if there is none.
 const fleet_member *choosePeer(const forwarding &Forwarding, const fleet &Fleet,
                                std::span<const std::string> HomeRegions,
                                std::span<const std::string> Tried,
--- a/Tests/forwarding_test.cpp
+++ b/Tests/forwarding_test.cpp
@@ -123,6 +123,20 @@
   STRCMP_EQUAL("a1", Fleet.choose(1, Start + seconds(2)).substr(0, 2).c_str());
 }
 
+// Failure: a large failure domain is cut off, and a request asks one of its
+// instances after the other.
+TEST(PeerForwarding, OtherDomainsAreAskedAfterARefusal) {
+  forwarding_fleet Fleet;
+  Fleet.Tried = {Fleet.choose(1)};
+  STRCMP_EQUAL("a1", Fleet.Tried[0].substr(0, 2).c_str());
+  Fleet.Tried.push_back(Fleet.choose(1));
+  STRCMP_EQUAL("a2", Fleet.Tried[1].substr(0, 2).c_str());
+  Fleet.Tried.push_back(Fleet.choose(1));
+  STRCMP_EQUAL("b1-1", Fleet.Tried[2].c_str());
+  // The others remain, once no other domain is left.
+  STRCMP_EQUAL("a", Fleet.choose(1).substr(0, 1).c_str());
+}
+
 // Failure: a request leaves the regions that it may be served in.
 TEST(PeerForwarding, HomeRegionsBind) {
   forwarding_fleet Fleet;
