Targets: what is removed before entries can expire has left

Cause: the platform's store turns the watchers of a region away right after a server was removed.

An entry expires after three silent heartbeats. A removal that is seen within 1.75 heartbeats of the last contact with the store is therefore certain. The contact is the store's own response: instances pass its age on with their state, and a report of completeness alone never extends it. A restored store counts as incomplete at once.

--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -33,6 +33,8 @@
   Reader.readFlag("strict_revocation", Bounds.RefusesUnconfirmedKeys);
   Reader.readDuration("revocation", Bounds.RevocationTime, milliseconds(100),
                       seconds(3'600));
+  Reader.readDuration("server_heartbeat", Bounds.ServerHeartbeat,
+                      milliseconds(10), seconds(600));
   Reader.readDuration("grace_period", Bounds.GracePeriod, milliseconds(500),
                       seconds(3'600));
   Reader.readDuration("lookup_ttl", Bounds.LookupTimeToLive, milliseconds(100),
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -41,6 +41,8 @@
   /// older than RevocationTime; otherwise the last known one stays in force.
   bool RefusesUnconfirmedKeys = false;
   duration RevocationTime = std::chrono::seconds(5);
+  /// Period of the backend servers' heartbeats to the store.
+  duration ServerHeartbeat = std::chrono::milliseconds(1'500);
   /// Time from SIGTERM until the process is killed.
   duration GracePeriod = std::chrono::seconds(6);
   /// Maximum time callers cache a look-up's response.
--- a/Libraries/ObjectCache/object_cache.h
+++ b/Libraries/ObjectCache/object_cache.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,6 +70,9 @@
   /// Whether the target list is complete, as far as the sender can tell:
   /// servers missing from it are removed.
   bool ListIsComplete = true;
+  /// Time since the store last responded before the outage that makes the list
+  /// incomplete, or since its last response; unset if not known.
+  std::optional<duration> ContactAge;
   std::vector<kind_changes> Kinds;
   /// Control addresses, `ip:port`, of instances to query instead while the
   /// sender serves no full snapshots.
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -80,4 +80,7 @@
   plainBytes @3 :UInt32;
   # Other instances to query instead.
   sources @4 :List(Text);
+  # Time since the store responded, before any outage that goes on; -1: not
+  # known. Instances of earlier builds state none.
+  contactAgeUs @5 :Int64 = -1;
 }
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(94cfe3fc67bfa06d, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1032,6 +1032,8 @@
   inline bool hasSources() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSources() const;
 
+  inline  ::int64_t getContactAgeUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1084,6 +1086,9 @@
   inline void adoptSources(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSources();
 
+  inline  ::int64_t getContactAgeUs();
+  inline void setContactAgeUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2056,6 +2061,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t CacheChanges::Reader::getContactAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t CacheChanges::Builder::getContactAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void CacheChanges::Builder::setContactAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -183,6 +183,8 @@
   packed_changes Packed;
   Packed.Changes.Age = duration(Root.getAgeUs());
   Packed.Changes.ListIsComplete = Root.getListIsSure();
+  if (Root.getContactAgeUs() >= 0)
+    Packed.Changes.ContactAge = duration(Root.getContactAgeUs());
   for (const auto Source : Root.getSources())
     Packed.Changes.Sources.emplace_back(Source.cStr());
   const auto Kinds = Root.getKinds().asChars();
@@ -287,6 +289,8 @@
   auto Root = Builder.initRoot<datagram::CacheChanges>();
   Root.setAgeUs(Changes.Age.count());
   Root.setListIsSure(Changes.ListIsComplete);
+  if (Changes.ContactAge)
+    Root.setContactAgeUs(Changes.ContactAge->count());
   Root.setKinds(capnp::Data::Reader(
       reinterpret_cast<const kj::byte *>(Kinds.Bytes.data()),
       Kinds.Bytes.size()));
--- a/Services/Node/relay_link.cpp
+++ b/Services/Node/relay_link.cpp
@@ -118,7 +118,7 @@
     FailedSources = 0;
     FallbackResponses = 0;
   }
-  State.onPeerListState(Changes->ListIsComplete);
+  State.onPeerListState(*Changes);
   bool IsApplied = true;
   for (kind_changes &Kind : Changes->Kinds)
     IsApplied = State.update(std::move(Kind)) && IsApplied;
--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -31,6 +31,7 @@
 }
 
 replicated_state::replicated_state(node &Node) : Node(Node) {
+  Trust.ServerHeartbeat = Node.Settings.Bounds.ServerHeartbeat;
   Node.Loop.runEvery(HousekeepingPeriod, [this] { runMaintenance(); });
 }
 
@@ -56,12 +57,23 @@
   }
 }
 
+void replicated_state::onStoreResponse() {
+  recordStoreResponse(Trust, Node.Loop.now());
+}
+
 void replicated_state::onStoreOutage() {
   recordStoreOutage(Trust, Node.Loop.now());
 }
 
-void replicated_state::onPeerListState(bool ListIsSure) {
-  recordPeerView(Trust, ListIsSure, Node.Loop.now());
+void replicated_state::onPeerListState(const cache_changes &Changes) {
+  recordPeerView(Trust, Changes.ListIsComplete, Changes.ContactAge,
+                 Node.Loop.now());
+}
+
+std::optional<duration> replicated_state::storeContactAge() const {
+  if (!Trust.LastContact)
+    return std::nullopt;
+  return Node.Loop.now() - *Trust.LastContact;
 }
 
 duration replicated_state::configurationAge() const {
@@ -119,7 +131,7 @@
   deferUnconfirmed(Deferred[Index], Changes, RemovedBefore,
                    Now + deferralOf(Changes.Kind));
   if (Changes.Kind == object_kind::Target)
-    recordStoreOutage(Trust, Now);
+    recordStoreRestored(Trust, Now);
   Node.Log.write(
       log_kind::ClusterState, "store_restored",
       {{"kind", platform::encodeKind(Changes.Kind)},
--- a/Services/Node/replicated_state.h
+++ b/Services/Node/replicated_state.h
@@ -8,6 +8,7 @@
 #include "node.h"
 
 #include <array>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,11 +23,17 @@
   /// which are ignored.
   bool update(kind_changes Changes);
 
+  /// Called when the store responds.
+  void onStoreResponse();
   /// Called when the store stops responding, and when it responds again.
   void onStoreOutage();
-  /// Called with a peer's fresh state: whether its server list is complete.
-  void onPeerListState(bool ListIsSure);
+  /// Called with a peer's fresh state, which tells whether its server list is
+  /// complete.
+  void onPeerListState(const cache_changes &Changes);
   [[nodiscard]] bool isTargetListComplete() const;
+  /// Time since the store last responded to this instance or its source before
+  /// the outage that goes on, if one does; unset if not known.
+  [[nodiscard]] std::optional<duration> storeContactAge() const;
 
   /// Returns whether a full list of every kind has been received.
   [[nodiscard]] bool hasFullState() const;
--- a/Services/Node/state_bootstrap.cpp
+++ b/Services/Node/state_bootstrap.cpp
@@ -82,7 +82,7 @@
   }
   Source = Control;
   FreshAt = Node.Loop.now() - Changes->Age;
-  State.onPeerListState(Changes->ListIsComplete);
+  State.onPeerListState(*Changes);
   for (kind_changes &Kind : Changes->Kinds)
     State.update(std::move(Kind));
 }
--- a/Services/Node/state_server.cpp
+++ b/Services/Node/state_server.cpp
@@ -60,6 +60,7 @@
   cache_changes Head;
   Head.Age = StateAge();
   Head.ListIsComplete = State.isTargetListComplete();
+  Head.ContactAge = State.storeContactAge();
   return Head;
 }
 
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -213,6 +213,7 @@
   RespondedAt = Node.Loop.now();
   if (IsStoreUnconfirmed)
     onStoreResponsive();
+  State.onStoreResponse();
 }
 
 /// Called when the store responds, for the first time or again.
--- a/Tests/store_test.cpp
+++ b/Tests/store_test.cpp
@@ -171,12 +171,14 @@
   cache_changes Original;
   Original.Age = std::chrono::milliseconds(120);
   Original.ListIsComplete = false;
+  Original.ContactAge = std::chrono::milliseconds(900);
   Original.Kinds.push_back(
       changes(7, true, {makeChange("a", 3), makeChange("b", 7, true)}));
   const auto Decoded = decodeChanges(encodeChanges(Original));
   CHECK(Decoded.has_value());
   CHECK(Decoded->Age == Original.Age);
   CHECK_FALSE(Decoded->ListIsComplete);
+  CHECK(Decoded->ContactAge == Original.ContactAge);
   LONGS_EQUAL(1, Decoded->Kinds.size());
   LONGS_EQUAL(7, Decoded->Kinds[0].AtRevision);
   CHECK(Decoded->Kinds[0].Changes[1].IsDeleted);
--- a/Tests/targets_test.cpp
+++ b/Tests/targets_test.cpp
@@ -75,7 +75,7 @@
   for (int Step = 0; Step < 40; ++Step) {
     const instant Now = instant(seconds(11)) + milliseconds(100 * Step);
     if (Step % 4 == 0)
-      recordPeerView(Trust, /*PeerListIsComplete=*/true, Now);
+      recordPeerView(Trust, /*PeerListIsComplete=*/true, std::nullopt, Now);
     if (Step % 3 == 0)
       recordStoreOutage(Trust, Now);
     CHECK(isListComplete(Trust, Now));
@@ -85,12 +85,60 @@
 TEST(Targets, ListIsIncompleteAfterStoreOutage) {
   list_completeness Trust;
   CHECK(isListComplete(Trust, instant(seconds(1))));
-  recordPeerView(Trust, /*PeerListIsComplete=*/false, instant(seconds(5)));
+  recordPeerView(Trust, /*PeerListIsComplete=*/false, std::nullopt,
+                 instant(seconds(5)));
   recordStoreOutage(Trust, instant(seconds(10)));
   CHECK_FALSE(isListComplete(Trust, instant(seconds(12))));
   CHECK(isListComplete(Trust, instant(seconds(13))));
 }
 
+// Guards against a server that left being kept because its instance's sources
+// lost the store right after: entries expire after three heartbeats of silence,
+// so one that is missing earlier was removed.
+TEST(Targets, RemovalSoonAfterLostContactIsCertain) {
+  list_completeness Trust;
+  recordPeerView(Trust, /*PeerListIsComplete=*/true, milliseconds(100),
+                 instant(milliseconds(20'500)));
+  recordPeerView(Trust, /*PeerListIsComplete=*/false, milliseconds(700),
+                 instant(milliseconds(21'100)));
+  CHECK(isListComplete(Trust, instant(milliseconds(22'100))));
+  recordPeerView(Trust, /*PeerListIsComplete=*/false, milliseconds(2'600),
+                 instant(milliseconds(23'000)));
+  CHECK_FALSE(isListComplete(Trust, instant(milliseconds(23'100))));
+}
+
+// Guards against a list being called complete by instances that only quote each
+// other: each report is given after the reporter's own contact ended.
+TEST(Targets, ReportsOfCompletenessDoNotExtendTheContact) {
+  list_completeness Trust;
+  recordPeerView(Trust, /*PeerListIsComplete=*/true, milliseconds(2'500),
+                 instant(milliseconds(12'500)));
+  recordStoreOutage(Trust, instant(milliseconds(14'000)));
+  CHECK_FALSE(isListComplete(Trust, instant(milliseconds(14'000))));
+}
+
+// Guards against servers that still run being dropped after an outage: responses
+// of a store that has just returned say nothing about entries that expired.
+TEST(Targets, ResponsesAfterAnOutageAreNoContactBeforeRecovery) {
+  list_completeness Trust;
+  recordStoreResponse(Trust, instant(seconds(10)));
+  recordStoreOutage(Trust, instant(seconds(11)));
+  recordStoreOutage(Trust, instant(seconds(16)));
+  recordStoreResponse(Trust, instant(seconds(16)));
+  CHECK_FALSE(isListComplete(Trust, instant(seconds(17))));
+  recordStoreResponse(Trust, instant(seconds(19)));
+  recordStoreOutage(Trust, instant(seconds(20)));
+  CHECK(isListComplete(Trust, instant(seconds(20))));
+}
+
+// Guards against servers that an earlier copy of the store lacks being dropped.
+TEST(Targets, RestoredStoreIsIncompleteAtOnce) {
+  list_completeness Trust;
+  recordStoreResponse(Trust, instant(seconds(10)));
+  recordStoreRestored(Trust, instant(seconds(10)));
+  CHECK_FALSE(isListComplete(Trust, instant(milliseconds(10'100))));
+}
+
 TEST(Targets, FullSnapshotRemovesUnlistedServers) {
   target_directory Directory = makeDirectory(3);
   removeUnlisted(Directory, {"s1"}, /*ListIsComplete=*/true);
