Placement: large bodies stay in the failure domain of their node

Cause: placement knew regions only, so half of all large bodies crossed to the other failure domain of the region.

The ranking of an object's servers is weighted by failure domain. For routes that the configuration declares large, the weight of the own region moves to the own failure domain, as far as that has the slots; the region's share stays. `upload` is decoded by name. A setting (`placement.bulk_locality`), two counters and the failure domain in `sent` lines.

--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -42,6 +42,13 @@
   Reader.rejectUnknown();
 }
 
+static void readPlacement(const YAML::Node &Node, node_settings &Settings,
+                          std::vector<settings_fault> &Faults) {
+  section_reader Reader(Node, "placement.", Faults);
+  Reader.readReal("bulk_locality", Settings.BulkLocality, 0, 1);
+  Reader.rejectUnknown();
+}
+
 static void readLimits(const YAML::Node &Node, node_settings &Settings,
                        std::vector<settings_fault> &Faults) {
   section_reader Reader(Node, "limits.", Faults);
@@ -67,6 +74,7 @@
   readAddresses(Reader.section("listen"), Settings.Listen, Check.Faults);
   readLimits(Reader.section("limits"), Settings, Check.Faults);
   readBounds(Reader.section("bounds"), Settings.Bounds, Check.Faults);
+  readPlacement(Reader.optionalSection("placement"), Settings, Check.Faults);
   Reader.rejectUnknown();
 }
 
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -70,6 +70,10 @@
   /// File descriptors that this node may use.
   std::int64_t FileDescriptors = 1'024;
   node_bounds Bounds;
+  /// How far requests with large bodies stay in the failure domain of the node
+  /// that serves them, 0 to 1. The rest keeps the other servers of the region
+  /// ranked before those of other regions.
+  double BulkLocality = 0.95;
   /// debug, info, warn or error.
   std::string LogLevel = "info";
 };
--- a/Libraries/Placement/placement.cpp
+++ b/Libraries/Placement/placement.cpp
@@ -22,14 +22,14 @@
              HomeRegions.end();
 }
 
-/// The highest-scoring servers of one region, by unweighted score.
-struct region_best {
+/// The highest-scoring servers of one failure domain, by unweighted score.
+struct domain_best {
   std::array<target *, MaxRankedTargets> Targets{};
   std::array<std::uint64_t, MaxRankedTargets> Scores{};
   std::size_t Count = 0;
 };
 
-static void insert(region_best &Best, target *Target, std::uint64_t Score) {
+static void insert(domain_best &Best, target *Target, std::uint64_t Score) {
   std::size_t At = std::min(Best.Count, MaxRankedTargets - 1);
   for (; At > 0 && Best.Scores[At - 1] < Score; --At) {
     Best.Scores[At] = Best.Scores[At - 1];
@@ -47,45 +47,46 @@
   return -Weight / std::log(Point);
 }
 
-/// The weighted score of the next server of a region that the merge has not
-/// consumed yet; -1 if there is none.
-static double nextScore(const region_best &Best, std::size_t Next,
+/// The weighted score of the next server of a failure domain that the merge has
+/// not consumed yet; -1 if there is none.
+static double nextScore(const domain_best &Best, std::size_t Next,
                         double Weight) {
   return Next < Best.Count ? weightedScore(Best.Scores[Next], Weight) : -1;
 }
 
-/// Merges the best servers of the regions into one ranking. Within a region the
-/// weight is the same for all servers, so the unweighted order holds there and
-/// only these few need a logarithm.
-static ranking merge(std::span<const region_best> Regions,
+/// Merges the best servers of the failure domains into one ranking. Within a
+/// failure domain the weight is the same for all servers, so the unweighted
+/// order holds there and only these few need a logarithm.
+static ranking merge(std::span<const domain_best> Domains,
                      std::span<const double> Weights) {
   ranking Ranking;
   const auto WeightOf = [&](std::size_t Index) {
     return Index < Weights.size() ? Weights[Index] : 1.0;
   };
-  std::vector<std::size_t> Next(Regions.size(), 0);
-  std::vector<double> Scores(Regions.size());
-  for (std::size_t Index = 0; Index < Regions.size(); ++Index)
-    Scores[Index] = nextScore(Regions[Index], 0, WeightOf(Index));
+  std::vector<std::size_t> Next(Domains.size(), 0);
+  std::vector<double> Scores(Domains.size());
+  for (std::size_t Index = 0; Index < Domains.size(); ++Index)
+    Scores[Index] = nextScore(Domains[Index], 0, WeightOf(Index));
   while (Ranking.Count < MaxRankedTargets) {
     const auto Found = std::max_element(Scores.begin(), Scores.end());
     if (*Found < 0)
       break;
     const auto Best = static_cast<std::size_t>(Found - Scores.begin());
-    Ranking.Targets[Ranking.Count++] = Regions[Best].Targets[Next[Best]++];
-    *Found = nextScore(Regions[Best], Next[Best], WeightOf(Best));
+    Ranking.Targets[Ranking.Count++] = Domains[Best].Targets[Next[Best]++];
+    *Found = nextScore(Domains[Best], Next[Best], WeightOf(Best));
   }
   return Ranking;
 }
 
-/// Has one more entry than there are regions, for servers of an unknown region.
-static std::vector<region_best> bestByRegion(const target_directory &Directory,
+/// Has one more entry than there are failure domains, for servers of an unknown
+/// one.
+static std::vector<domain_best> bestByDomain(const target_directory &Directory,
                                              std::span<target *const> Targets,
                                              const rank_request &Request,
                                              instant Now) {
-  std::vector<region_best> Regions(Directory.Regions.size() + 1);
+  std::vector<domain_best> Domains(Directory.Domains.size() + 1);
   for (target *Target : Targets) {
-    region_best &Best = Regions[Target->RegionIndex];
+    domain_best &Best = Domains[Target->DomainIndex];
     const std::uint64_t Score = mix(Request.KeyHash, Target->Hash);
     if (Best.Count == MaxRankedTargets &&
         Score <= Best.Scores[MaxRankedTargets - 1])
@@ -94,15 +95,15 @@
         isHomeRegion(Request.HomeRegions, Target->Region))
       insert(Best, Target, Score);
   }
-  return Regions;
+  return Domains;
 }
 
 candidate_rankings rankTargets(const target_directory &Directory,
                                std::span<target *const> Targets,
                                const rank_request &Request, instant Now) {
-  const auto Regions = bestByRegion(Directory, Targets, Request, Now);
-  return {merge(Regions, Request.PrimaryWeights),
-          merge(Regions, Request.SecondaryWeights)};
+  const auto Domains = bestByDomain(Directory, Targets, Request, Now);
+  return {merge(Domains, Request.PrimaryWeights),
+          merge(Domains, Request.SecondaryWeights)};
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Placement/placement.h
+++ b/Libraries/Placement/placement.h
@@ -34,8 +34,8 @@
 };
 
 /// Inputs of an object's rankings other than the servers. Weights are by
-/// region: a server with twice the weight ranks first for twice as many
-/// objects. Empty weights: all regions are equal.
+/// failure domain: a server with twice the weight ranks first for twice as many
+/// objects. Empty weights: all failure domains are equal.
 struct rank_request {
   std::uint64_t KeyHash = 0;
   /// Only servers in these regions are ranked; empty: all are.
--- a/Libraries/RouteTable/route_table.h
+++ b/Libraries/RouteTable/route_table.h
@@ -28,6 +28,8 @@
   /// Begins and ends with a slash.
   std::string PathPrefix;
   work_class Class = work_class::NonIdempotent;
+  /// Whether its requests or responses are large.
+  bool IsBulk = false;
   /// Maximum time from the request to its final response.
   duration Timeout = std::chrono::seconds(10);
   /// A response within this time has the highest worth to the caller.
--- a/Libraries/Settings/section_reader.h
+++ b/Libraries/Settings/section_reader.h
@@ -141,6 +141,11 @@
     return YAML::Node(YAML::NodeType::Map);
   }
 
+  /// Like section(), without a fault when it is absent.
+  YAML::Node optionalSection(const char *Field) {
+    return child(Field) ? section(Field) : YAML::Node(YAML::NodeType::Map);
+  }
+
   /// Unknown fields are faults: a misspelt field would silently leave its
   /// default in force.
   void rejectUnknown() {
--- a/Libraries/Steering/candidates.cpp
+++ b/Libraries/Steering/candidates.cpp
@@ -79,8 +79,9 @@
   const std::vector<target *> &Targets = Found->second;
   const service_weights &Weights =
       updateWeights(Steering, Plan.Service, Targets, Now);
-  const rank_request Request{Plan.KeyHash, Plan.HomeRegions, Weights.Primary,
-                             Weights.Secondary};
+  const rank_request Request{
+      Plan.KeyHash, Plan.HomeRegions,
+      Plan.IsBulk ? Weights.BulkPrimary : Weights.Primary, Weights.Secondary};
   const candidate_rankings Rankings =
       rankTargets(Steering.Targets, Targets, Request, Now);
   List.HasUsableTargets = Rankings.Primary.Count > 0;
--- a/Libraries/Steering/region_shares.cpp
+++ b/Libraries/Steering/region_shares.cpp
@@ -1,4 +1,5 @@
-// The weights of the regions for the primary and secondary of objects.
+// The weights of the failure domains for the primary and secondary of objects:
+// those of their regions, and for large bodies the own failure domain first.
 #include "Steering/candidates.h"
 
 #include "Placement/region_weights.h"
@@ -27,6 +28,18 @@
 /// servers, which changes once a second at most.
 static constexpr duration WeightsUpdatePeriod = std::chrono::milliseconds(500);
 
+/// Slots by failure domain that are neither draining nor evacuated.
+static std::vector<double>
+usableSlotsByDomain(const target_directory &Directory,
+                    std::span<target *const> Targets) {
+  std::vector<double> Slots(Directory.Domains.size() + 1, 0.0);
+  for (const target *Target : Targets)
+    if (!Target->Entry.IsDraining &&
+        !Directory.EvacuatedDomains.contains(Target->Entry.FailureDomain))
+      Slots[Target->DomainIndex] += Target->Entry.Slots;
+  return Slots;
+}
+
 /// Listed slots by region. Temporary conditions, such as the ejection of a
 /// server, are ignored because they must not move the objects of all other
 /// servers.
@@ -40,6 +53,41 @@
   return Slots;
 }
 
+/// The weight of each region for the servers of its failure domains.
+static std::vector<double> byDomain(const target_directory &Directory,
+                                    std::span<const double> RegionWeights) {
+  std::vector<double> Weights;
+  for (const std::size_t Region : Directory.RegionByDomain)
+    Weights.push_back(RegionWeights[Region]);
+  return Weights;
+}
+
+/// Moves the weight of the own region to the own failure domain, as far as that
+/// has the slots for its callers if all failure domains of the region request
+/// the same amount. Large bodies fill the links between failure domains; an
+/// object then has a server in each one, which costs a first run each.
+static std::vector<double> nearFirst(const steering &Steering,
+                                     std::span<target *const> Targets,
+                                     std::vector<double> Weights) {
+  const target_directory &Directory = Steering.Targets;
+  const auto SlotsByDomain = usableSlotsByDomain(Directory, Targets);
+  std::vector<double> Slots;
+  std::vector<std::size_t> Near;
+  std::size_t Own = Directory.Domains.size();
+  for (std::size_t Domain = 0; Domain < Weights.size(); ++Domain) {
+    if (Directory.RegionByDomain[Domain] != Steering.OwnRegion)
+      continue;
+    if (Domain == Steering.OwnDomain)
+      Own = Near.size();
+    Near.push_back(Domain);
+    Slots.push_back(SlotsByDomain[Domain]);
+  }
+  const auto Factors = regionWeights(Slots, Own, Steering.BulkLocality);
+  for (std::size_t Index = 0; Index < Near.size(); ++Index)
+    Weights[Near[Index]] *= Factors[Index];
+  return Weights;
+}
+
 const service_weights &updateWeights(steering &Steering,
                                      const std::string &Service,
                                      std::span<target *const> Targets,
@@ -56,16 +104,20 @@
   const double Lacking = 1 - ownCoverage(Slots, Steering.OwnRegion);
   const double Spread = std::max(
       {MinSpillover, SpilloverWithoutSlots * Lacking, Weights.Spillover.Share});
-  Weights.Primary = regionWeights(Slots, Steering.OwnRegion, 1 - Spread);
-  Weights.Secondary = regionWeights(
+  std::vector<double> Primary =
+      regionWeights(Slots, Steering.OwnRegion, 1 - Spread);
+  std::vector<double> Secondary = regionWeights(
       Slots, Steering.OwnRegion, 1 - OverflowSpread - Weights.Spillover.Share);
   // Weights count per slot, and all slots of a region are ranked.
   for (std::size_t Region = 0; Region < AllSlots.size(); ++Region)
     if (AllSlots[Region] > 0) {
       const double Share = Slots[Region] / AllSlots[Region];
-      Weights.Primary[Region] *= Share;
-      Weights.Secondary[Region] *= Share;
+      Primary[Region] *= Share;
+      Secondary[Region] *= Share;
     }
+  Weights.Primary = byDomain(Steering.Targets, Primary);
+  Weights.Secondary = byDomain(Steering.Targets, Secondary);
+  Weights.BulkPrimary = nearFirst(Steering, Targets, Weights.Primary);
   return Weights;
 }
 
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -85,6 +85,7 @@
   Plan.Service = chooseService(Table, Index, Plan.KeyHash);
   Plan.Content = Facts.Content;
   Plan.Class = Route.Class;
+  Plan.IsBulk = Route.IsBulk;
   Plan.MaxAttempts = Route.MaxAttempts;
   Plan.Objective = Route.Objective;
   Plan.Arrived = Facts.Arrived;
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -23,13 +23,15 @@
 
 namespace amaranthhoist {
 
-/// Weights of the regions for one service, with the state they are derived
-/// from.
+/// Weights of the failure domains for one service, with the state they are
+/// derived from.
 struct service_weights {
   region_spillover Spillover;
   home_demand HomeDemand;
   /// For the primary candidate of an object.
   std::vector<double> Primary;
+  /// The same for routes with large bodies: the own failure domain first.
+  std::vector<double> BulkPrimary;
   /// For the secondary candidate, which takes what the primary has no capacity
   /// for.
   std::vector<double> Secondary;
@@ -49,9 +51,15 @@
   std::vector<std::uint64_t> Instances;
   /// Index of this instance's region in the target directory.
   std::size_t OwnRegion = 0;
+  /// Index of this instance's failure domain in the target directory.
+  std::size_t OwnDomain = 0;
+  /// How far requests with large bodies stay in the own failure domain: from 0,
+  /// where all servers of the region are alike, to 1, where they leave it only
+  /// for want of slots there.
+  double BulkLocality = 0;
   /// Shares of the sum of all accounts' limits that are bound to each region.
   std::vector<double> ExpectedHomeShares;
-  /// Region weights by service.
+  /// Weights of the failure domains by service.
   text_map<service_weights> Weights;
   /// The least urgent priority (highest number) among the routes and accounts.
   int LeastUrgentPriority = 0;
@@ -70,6 +78,8 @@
   std::uint64_t Content = 0;
   work_class Class = work_class::NonIdempotent;
   int Priority = 0;
+  /// Its bodies are large.
+  bool IsBulk = false;
   int MaxAttempts = 1;
   /// The regions that both the route and the account allow; empty: all.
   std::vector<std::string> HomeRegions;
--- a/Libraries/Targets/list_completeness.cpp
+++ b/Libraries/Targets/list_completeness.cpp
@@ -13,8 +13,8 @@
 static constexpr duration PeerReportValidFor = std::chrono::milliseconds(1'200);
 
 /// Heartbeats after the last contact for which no entry expires because of the
-/// outage: entries expire after three, a heartbeat may have been due at the last
-/// contact, and heartbeats may be a quarter of a period late.
+/// outage: entries expire after three, a heartbeat may have been due at the
+/// last contact, and heartbeats may be a quarter of a period late.
 static constexpr double HeartbeatsWithoutExpiry = 1.75;
 
 static bool hasRecoveredFromOutage(const list_completeness &Completeness,
--- a/Libraries/Targets/list_completeness.h
+++ b/Libraries/Targets/list_completeness.h
@@ -3,7 +3,8 @@
 /// within two seconds of the store's return. If only this instance could not
 /// reach the store, no entries expired, and peers that remained connected
 /// report this. An entry expires only after its server has been silent for
-/// several heartbeats, so what is removed early in an outage has left. Sans-I/O.
+/// several heartbeats, so what is removed early in an outage has left.
+/// Sans-I/O.
 #pragma once
 
 #include "Core/core.h"
--- a/Libraries/Targets/targets.cpp
+++ b/Libraries/Targets/targets.cpp
@@ -71,8 +71,25 @@
   Directory.Regions.erase(
       std::unique(Directory.Regions.begin(), Directory.Regions.end()),
       Directory.Regions.end());
-  for (const auto &[Id, Target] : Directory.ById)
+  Directory.Domains.clear();
+  for (const auto &[Domain, Region] : RegionOfDomain)
+    Directory.Domains.push_back(Domain);
+  std::sort(Directory.Domains.begin(), Directory.Domains.end());
+  Directory.RegionByDomain.clear();
+  for (const std::string &Domain : Directory.Domains)
+    Directory.RegionByDomain.push_back(
+        regionIndex(Directory, RegionOfDomain.at(Domain)));
+  for (const auto &[Id, Target] : Directory.ById) {
     Target->RegionIndex = regionIndex(Directory, Target->Region);
+    Target->DomainIndex = domainIndex(Directory, Target->Entry.FailureDomain);
+  }
+}
+
+std::size_t domainIndex(const target_directory &Directory,
+                        std::string_view Name) {
+  const auto Found =
+      std::find(Directory.Domains.begin(), Directory.Domains.end(), Name);
+  return static_cast<std::size_t>(Found - Directory.Domains.begin());
 }
 
 std::size_t regionIndex(const target_directory &Directory,
@@ -133,6 +150,7 @@
   if (Region != Directory.RegionOfDomain.end())
     Target.Region = Region->second;
   Target.RegionIndex = regionIndex(Directory, Target.Region);
+  Target.DomainIndex = domainIndex(Directory, Entry.FailureDomain);
   if (Entry.ColdFor > duration::zero())
     Target.ColdUntil = std::max(Target.ColdUntil, Now + Entry.ColdFor);
 }
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -69,6 +69,8 @@
   std::string Region;
   /// Index of its region in the directory's Regions.
   std::size_t RegionIndex = 0;
+  /// Index of its failure domain in the directory's Domains.
+  std::size_t DomainIndex = 0;
   /// Hash of the id; ranks the server for an object.
   std::uint64_t Hash = 0;
   /// Number of requests in flight there from this instance.
@@ -118,6 +120,9 @@
   text_map<std::string> RegionOfDomain;
   /// Names of all regions.
   std::vector<std::string> Regions;
+  /// Names of all failure domains, and the index of the region of each.
+  std::vector<std::string> Domains;
+  std::vector<std::size_t> RegionByDomain;
   text_map<std::unique_ptr<target>> ById;
   text_map<std::vector<target *>> ByService;
   /// Failure domains whose servers receive no requests.
@@ -137,6 +142,11 @@
 std::size_t regionIndex(const target_directory &Directory,
                         std::string_view Name);
 
+/// Index of a failure domain by name; the number of failure domains if there is
+/// no such one.
+std::size_t domainIndex(const target_directory &Directory,
+                        std::string_view Name);
+
 /// Applies one entry of the list. A server that restarted under its id gets a
 /// new record: the state of the previous incarnation (load, failures, draining)
 /// would exclude a healthy server, or send full load to a cold one.
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -196,11 +196,17 @@
   Connection = Pool.acquire(Chosen, Plan.Class);
   const bool IsRepeat = Attempts.size() > 1;
   Node.Metrics.countAttempt({Chosen.Region, Connection != nullptr, IsRepeat});
+  if (Plan.IsBulk)
+    Node.Metrics.incrementCounter(
+        Chosen.DomainIndex == Node.Steering.OwnDomain
+            ? "amaranthhoist_bulk_attempts_own_domain_total"
+            : "amaranthhoist_bulk_attempts_other_domain_total");
   Node.Log.write(log_kind::Attempt, "sent",
                  {{"request", Request.Id},
                   {"content", ContentName},
                   {"server", Chosen.Entry.Id},
                   {"region", Chosen.Region},
+                  {"failure_domain", Chosen.Entry.FailureDomain},
                   {"load", estimatedLoad(Chosen, AttemptStartedAt)},
                   {"kept_connection", Connection != nullptr},
                   {"repeat", IsRepeat},
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -199,6 +199,10 @@
     setDomains(Node.Steering.Targets, Settings->FailureDomains);
     Node.Steering.OwnRegion =
         regionIndex(Node.Steering.Targets, Node.Settings.Region);
+    Node.Settings.BulkLocality = Settings->BulkLocality;
+    Node.Steering.BulkLocality = Settings->BulkLocality;
+    Node.Steering.OwnDomain =
+        domainIndex(Node.Steering.Targets, Node.Settings.FailureDomain);
     Node.Log.write(log_kind::Process, "reloaded", {}, Node.Loop.now());
   }
 
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -18,6 +18,8 @@
                       Loop.now());
   setDomains(Steering.Targets, Settings.FailureDomains);
   Steering.OwnRegion = regionIndex(Steering.Targets, Settings.Region);
+  Steering.BulkLocality = Settings.BulkLocality;
+  Steering.OwnDomain = domainIndex(Steering.Targets, Settings.FailureDomain);
 }
 
 std::int64_t configurationVersion(const node &Node) {
--- a/Tests/node_settings_test.cpp
+++ b/Tests/node_settings_test.cpp
@@ -46,6 +46,17 @@
   DOUBLES_EQUAL(58, Check.Settings.Bounds.RetrySlack, 0);
 }
 
+TEST(NodeSettings, PlacementIsOptionalAndInRange) {
+  LONGS_EQUAL(0, checkNodeSettings(ValidText).Faults.size());
+  const auto Check =
+      checkNodeSettings(ValidText + "placement:\n  bulk_locality: 0.5\n");
+  LONGS_EQUAL(0, Check.Faults.size());
+  DOUBLES_EQUAL(0.5, Check.Settings.BulkLocality, 0);
+  LONGS_EQUAL(
+      1, checkNodeSettings(ValidText + "placement:\n  bulk_locality: 1.5\n")
+             .Faults.size());
+}
+
 TEST(NodeSettings, ReportsFaultsWithTheirLines) {
   std::string Text = ValidText;
   Text.replace(Text.find("10.0.0.1:83"), 11, "10.0.0.1:x3");
--- a/Tests/platform_codec_test.cpp
+++ b/Tests/platform_codec_test.cpp
@@ -67,6 +67,17 @@
   Text.replace(Text.find("\"safe\""), 6, "\"download\"");
   CHECK(platform::decodeConfiguration(Text)->Routes[0].Class ==
         work_class::Idempotent);
+  CHECK(platform::decodeConfiguration(Text)->Routes[0].IsBulk);
+  CHECK_FALSE(
+      platform::decodeConfiguration(ConfigurationText)->Routes[0].IsBulk);
+}
+
+TEST(PlatformCodec, UploadsAreNonIdempotentAndLarge) {
+  std::string Text = ConfigurationText;
+  Text.replace(Text.find("\"safe\""), 6, "\"upload\"");
+  const auto Read = platform::decodeConfiguration(Text);
+  CHECK(Read->Routes[0].Class == work_class::NonIdempotent);
+  CHECK(Read->Routes[0].IsBulk);
 }
 
 TEST(PlatformCodec, ReadsABackendServer) {
