Node: a node that cannot know which servers are cold keeps to its part

The bounds are settings; without them nothing is limited. Pacing keeps one pair of functions for both paces.

--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -33,6 +33,8 @@
   Reader.readFlag("strict_revocation", Bounds.RefusesUnconfirmedKeys);
   Reader.readDuration("revocation", Bounds.RevocationTime, milliseconds(100),
                       seconds(3'600));
+  Reader.readReal("cold_overshoot", Bounds.ColdOvershoot, 0, 100);
+  Reader.readReal("cold_slack", Bounds.ColdSlack, 0, 1e6);
   Reader.readDuration("server_heartbeat", Bounds.ServerHeartbeat,
                       milliseconds(10), seconds(600));
   Reader.readDuration("grace_period", Bounds.GracePeriod, milliseconds(500),
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -41,6 +41,11 @@
   /// older than RevocationTime; otherwise the last known one stays in force.
   bool RefusesUnconfirmedKeys = false;
   duration RevocationTime = std::chrono::seconds(5);
+  /// How far all nodes together may exceed what a cold server sustains: in one
+  /// second at most rate x overshoot + slack requests. An overshoot of 0: not
+  /// stated.
+  double ColdOvershoot = 0;
+  double ColdSlack = 0;
   /// Period of the backend servers' heartbeats to the store.
   duration ServerHeartbeat = std::chrono::milliseconds(1'500);
   /// Time from SIGTERM until the process is killed.
--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -18,6 +18,10 @@
       [&](std::uint64_t Other) { return rendezvousScore(Other, Hash) > Own; }));
 }
 
+/// Part of the allowance that is used: requests may arrive closer together than
+/// they were sent.
+static constexpr double UninformedShare = 0.9;
+
 double coldRate(double RequestsPerSecond, std::uint64_t TargetHash,
                 std::uint64_t OwnHash,
                 const std::vector<std::uint64_t> &Instances) {
@@ -30,17 +34,24 @@
              : 0;
 }
 
-bool admitsColdRequest(const target &Target, double OwnRate, instant Now) {
-  if (Now >= Target.ColdUntil)
-    return true;
-  return OwnRate > 0 && Now >= Target.NextColdRequest;
+std::optional<double> uninformedRate(const cold_bounds &Bounds,
+                                     double ColdRequestsPerSecond,
+                                     std::size_t Instances) {
+  if (Bounds.Overshoot < 1 || Instances == 0)
+    return std::nullopt;
+  const double Allowed =
+      ColdRequestsPerSecond * (Bounds.Overshoot - 1) + Bounds.Slack;
+  return UninformedShare * Allowed / static_cast<double>(Instances);
+}
+
+bool admitsPacedRequest(const target &Target, double OwnRate, instant Now) {
+  return OwnRate > 0 && Now >= Target.NextPacedRequest;
 }
 
-void recordColdRequest(target &Target, double OwnRate, instant Now) {
-  if (Now >= Target.ColdUntil || OwnRate <= 0)
-    return;
-  Target.NextColdRequest =
-      Now + duration(static_cast<std::int64_t>(1'000'000 / OwnRate));
+void recordPacedRequest(target &Target, double OwnRate, instant Now) {
+  if (OwnRate > 0)
+    Target.NextPacedRequest =
+        Now + duration(static_cast<std::int64_t>(1'000'000 / OwnRate));
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -115,9 +115,26 @@
                 std::uint64_t OwnHash,
                 const std::vector<std::uint64_t> &Instances);
 
-/// Whether the cold start of \p Target permits a request now.
-bool admitsColdRequest(const target &Target, double OwnRate, instant Now);
-/// Records a request to a cold server.
-void recordColdRequest(target &Target, double OwnRate, instant Now);
+/// How far all instances together may exceed what a cold server sustains, set
+/// by the operators: requests in one second at most rate x overshoot + slack.
+struct cold_bounds {
+  /// 0: not stated.
+  double Overshoot = 0;
+  double Slack = 0;
+};
+
+/// Requests per second that an instance may send to each server while it does
+/// not hear whether servers became cold: its part of what the bounds allow
+/// beyond \p ColdRequestsPerSecond, which the others use up. Nullopt if the
+/// bounds are not stated or the number of instances is not known.
+std::optional<double> uninformedRate(const cold_bounds &Bounds,
+                                     double ColdRequestsPerSecond,
+                                     std::size_t Instances);
+
+/// Whether a request may be sent to \p Target now at \p OwnRate requests per
+/// second.
+bool admitsPacedRequest(const target &Target, double OwnRate, instant Now);
+/// Records a request that is sent at \p OwnRate requests per second.
+void recordPacedRequest(target &Target, double OwnRate, instant Now);
 
 } // namespace amaranthhoist
--- a/Libraries/Steering/candidates.cpp
+++ b/Libraries/Steering/candidates.cpp
@@ -21,20 +21,34 @@
 /// this.
 static constexpr double SecondaryCost = 1;
 
-double localColdRate(const steering &Steering, const target &Target) {
+/// Requests per second that this instance may send to \p Target; nullopt: any
+/// number.
+static std::optional<double> pacedRate(const steering &Steering,
+                                       const target &Target, instant Now) {
+  const bool IsCold = Now < Target.ColdUntil;
+  if (!IsCold && !Steering.IsUninformed)
+    return std::nullopt;
   const service *Service =
       Steering.Routes ? findService(*Steering.Routes, Target.Entry.Service)
                       : nullptr;
   if (!Service || Steering.Instances.empty())
-    return 0;
+    return IsCold ? std::optional(0.0) : std::nullopt;
+  if (!IsCold)
+    return uninformedRate(Steering.ColdBounds, Service->ColdRequestsPerSecond,
+                          Steering.Instances.size());
   return coldRate(Service->ColdRequestsPerSecond, Target.Hash,
                   Steering.Instances.front(), Steering.Instances);
 }
 
-static bool admitsColdRequest(const steering &Steering, const target &Target,
-                              instant Now) {
-  return Now >= Target.ColdUntil ||
-         admitsColdRequest(Target, localColdRate(Steering, Target), Now);
+static bool admitsPacedRequest(const steering &Steering, const target &Target,
+                               instant Now) {
+  const auto Rate = pacedRate(Steering, Target, Now);
+  return !Rate || admitsPacedRequest(Target, *Rate, Now);
+}
+
+void recordPacedRequest(const steering &Steering, target &Target, instant Now) {
+  if (const auto Rate = pacedRate(Steering, Target, Now))
+    recordPacedRequest(Target, *Rate, Now);
 }
 
 static bool wasTried(const request_plan &Plan, const target &Target) {
@@ -54,7 +68,7 @@
                               const target *Taken, instant Now) {
   for (target *Target : Ranking.targets())
     if (Target != Taken && !wasTried(Plan, *Target) &&
-        admitsColdRequest(Steering, *Target, Now))
+        admitsPacedRequest(Steering, *Target, Now))
       return Target;
   return nullptr;
 }
--- a/Libraries/Steering/candidates.h
+++ b/Libraries/Steering/candidates.h
@@ -12,9 +12,9 @@
                                      std::span<target *const> Targets,
                                      instant Now);
 
-/// Requests per second that this instance may send to \p Target while that is
-/// cold.
-double localColdRate(const steering &Steering, const target &Target);
+/// Records a request that is sent to \p Target if the rate of such requests is
+/// limited there.
+void recordPacedRequest(const steering &Steering, target &Target, instant Now);
 
 /// Predicts the wait of \p Plan for a slot of \p Target at \p Load.
 duration predictedWait(const steering &Steering, const request_plan &Plan,
--- a/Libraries/Steering/steering.cpp
+++ b/Libraries/Steering/steering.cpp
@@ -158,8 +158,7 @@
   if (isQuarantined(Steering.Quarantine, Plan.Content))
     recordTrial(Steering.Quarantine, Plan.Content, Now);
   recordAttemptStart(Target, Now);
-  if (Now < Target.ColdUntil)
-    recordColdRequest(Target, localColdRate(Steering, Target), Now);
+  recordPacedRequest(Steering, Target, Now);
 }
 
 bool mayRetry(steering &Steering, const request_plan &Plan, instant Now) {
--- a/Libraries/Targets/targets.h
+++ b/Libraries/Targets/targets.h
@@ -99,8 +99,8 @@
   instant BackoffUntil{};
 
   instant ColdUntil{};
-  /// Earliest time of the next request during its cold start.
-  instant NextColdRequest{};
+  /// Earliest time of the next request while their rate is limited.
+  instant NextPacedRequest{};
   /// Missing from the list. This may be an expired entry of a live server.
   bool IsMissing = false;
   /// When this instance added it to its directory.
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -199,6 +199,8 @@
     setDomains(Node.Steering.Targets, Settings->FailureDomains);
     Node.Steering.OwnRegion =
         regionIndex(Node.Steering.Targets, Node.Settings.Region);
+    Node.Steering.ColdBounds = {Settings->Bounds.ColdOvershoot,
+                                Settings->Bounds.ColdSlack};
     Node.Settings.BulkLocality = Settings->BulkLocality;
     Node.Steering.BulkLocality = Settings->BulkLocality;
     Node.Steering.OwnDomain =
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -18,6 +18,8 @@
                       Loop.now());
   setDomains(Steering.Targets, Settings.FailureDomains);
   Steering.OwnRegion = regionIndex(Steering.Targets, Settings.Region);
+  Steering.ColdBounds = {Settings.Bounds.ColdOvershoot,
+                         Settings.Bounds.ColdSlack};
   Steering.BulkLocality = Settings.BulkLocality;
   Steering.OwnDomain = domainIndex(Steering.Targets, Settings.FailureDomain);
 }
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -57,6 +57,9 @@
   void decideDuringBootstrap();
   void onBootstrapFinished();
   void setUsesStore(bool IsWanted);
+  /// Limits what the node sends to each server while other instances that it
+  /// does not hear may know more.
+  void updateInformed();
   /// Lower bound of the time since the state was fresh at the store.
   duration age() const;
   instant freshAt() const;
--- a/Tests/pacing_test.cpp
+++ b/Tests/pacing_test.cpp
@@ -37,9 +37,9 @@
         for (std::size_t Index = 0; Index < Count; ++Index) {
           const double Own =
               coldRate(Rate, Views[Index].Hash, Instances[Index], Instances);
-          if (!admitsColdRequest(Views[Index], Own, Now))
+          if (!admitsPacedRequest(Views[Index], Own, Now))
             continue;
-          recordColdRequest(Views[Index], Own, Now);
+          recordPacedRequest(Views[Index], Own, Now);
           ++Sent.back();
         }
       }
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -4,6 +4,7 @@
 #include "Steering/steering.h"
 
 #include <CppUTest/TestHarness.h>
+#include <map>
 #include <set>
 
 using namespace amaranthhoist;
@@ -377,3 +378,44 @@
                      instant()) >= milliseconds(250));
   }
 }
+
+// Guards against overloading a cold server from instances that are cut off and
+// do not hear that it became cold, beside those that know it and use its rate.
+TEST(Steering, UninformedInstancesShareTheAllowanceOfColdServers) {
+  constexpr int Instances = 9;
+  constexpr double ColdRate = 2.5;
+  std::map<std::string, int> Received;
+  for (int Instance = 0; Instance < 4; ++Instance) {
+    steering Steering = makeSteering(6, work_class::Idempotent);
+    Steering.Instances.assign(Instances, 1);
+    Steering.ColdBounds = {1.5, 5};
+    Steering.IsUninformed = true;
+    request_plan Plan = plan(Steering);
+    for (instant Now{}; Now < instant(seconds(1)); Now += milliseconds(5)) {
+      const auto Chosen = chooseTarget(Steering, Plan, Now);
+      if (!Chosen)
+        continue;
+      beginAttempt(Steering, Plan, **Chosen, Now);
+      recordResult(Steering.Targets, **Chosen, attempt_result::Answered,
+                   milliseconds(1), Now);
+      ++Received[(*Chosen)->Entry.Id];
+    }
+  }
+  for (const auto &[Server, Count] : Received)
+    CHECK(Count <= ColdRate * 0.5 + 5);
+  LONGS_EQUAL(6, Received.size());
+}
+
+// Guards against limiting instances whose operators state no bounds.
+TEST(Steering, UninformedInstanceWithoutBoundsIsNotLimited) {
+  steering Steering = makeSteering(6, work_class::Idempotent);
+  Steering.IsUninformed = true;
+  request_plan Plan = plan(Steering);
+  for (int Request = 0; Request < 20; ++Request) {
+    const auto Chosen = chooseTarget(Steering, Plan, instant());
+    CHECK(Chosen.has_value());
+    beginAttempt(Steering, Plan, **Chosen, instant());
+    recordResult(Steering.Targets, **Chosen, attempt_result::Answered,
+                 milliseconds(1), instant());
+  }
+}
