--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -53,8 +53,8 @@
   std::size_t OwnRegion = 0;
   /// Index of this instance's failure domain in the target directory.
   std::size_t OwnDomain = 0;
-  /// This instance's state is old, and other instances that it does not hear may
-  /// know more: servers may have become cold without its notice.
+  /// This instance's state is old, and other instances that it does not hear
+  /// may know more: servers may have become cold without its notice.
   bool IsUninformed = false;
   cold_bounds ColdBounds;
   /// How far requests with large bodies stay in the own failure domain: from 0,
--- a/Tests/targets_test.cpp
+++ b/Tests/targets_test.cpp
@@ -117,8 +117,9 @@
   CHECK_FALSE(isListComplete(Trust, instant(milliseconds(14'000))));
 }
 
-// Guards against servers that still run being dropped after an outage: responses
-// of a store that has just returned say nothing about entries that expired.
+// Guards against servers that still run being dropped after an outage:
+// responses of a store that has just returned say nothing about entries that
+// expired.
 TEST(Targets, ResponsesAfterAnOutageAreNoContactBeforeRecovery) {
   list_completeness Trust;
   recordStoreResponse(Trust, instant(seconds(10)));
