Membership: a failure domain, a region or half of the fleet is dropped within two seconds

Callers saw: lookups that return dead instances for seconds.

Cause: limits that hold for one failure. One probe an instance and period finds the last of many late; 16 statuses a message and a dozen messages each need 5 s for 114; suspected members were probed again in the order of their names, four a tick, so that the last never were; each received suspicion was verified for 0.6 to 1.2 s; and an instance that was itself cut off told everybody what it had not reached.

Follow-up probes in the domain of an unanswered probe, correlated suspicions take effect at once, statuses by hash (42 more a message, ignored by earlier builds) with the least sent first, refutation by whoever has just heard a member, and no suspicions from an instance that hears nobody. Lost and returned peers are logged by name up to eight a tick, with a count of the others.

--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -138,16 +138,16 @@
 
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members) {
   std::map<std::string, fleet_member> Next;
-  std::set<std::string> Names;
+  std::map<std::string, std::string> FailureDomains;
   for (fleet_member &Member : Members) {
     if (Member.Name == Fleet.Own.Name)
       continue;
-    Names.insert(Member.Name);
+    FailureDomains.emplace(Member.Name, Member.FailureDomain);
     const std::string Name = Member.Name;
     Next.emplace(Name, std::move(Member));
   }
   Fleet.Members = std::move(Next);
-  setMembers(Fleet.Membership, Names);
+  setMembersWithDomains(Fleet.Membership, FailureDomains);
 }
 
 std::vector<std::uint64_t> instanceHashes(const fleet &Fleet) {
--- /dev/null
+++ b/Libraries/Membership/member_status.h
@@ -0,0 +1,46 @@
+/// Changes of a member's status, and which suspicions take effect when. Used
+/// within this library only.
+#pragma once
+
+#include "Membership/membership.h"
+
+namespace amaranthhoist {
+
+/// Whether a status rests on probes of this instance, or on another's message.
+enum class evidence : std::uint8_t { Own, Received };
+
+/// Returns whether so many members of \p Member's failure domain are suspected
+/// that the domain as a whole has probably failed.
+bool isCorrelated(const membership &Membership, const member_state &Member);
+
+/// Plans probes of further members of a failure domain in which one didn't
+/// respond. Each of those that doesn't respond either plans as many again.
+void planFollowUps(membership &Membership, const std::string &Name);
+
+void setStatus(membership &Membership, const std::string &Name,
+               member_state &Member, member_status Status, evidence Evidence,
+               instant Now);
+
+/// Sets whether \p Name counts as up.
+void setUp(membership &Membership, const std::string &Name, bool IsUp);
+
+/// Marks \p Name as up: a response from the member itself overrides any update
+/// received from others.
+void recordResponse(membership &Membership, const std::string &Name,
+                    instant Now);
+
+/// Marks \p Name as suspected because a probe of this instance got no response.
+void recordMissingResponse(membership &Membership, const std::string &Name,
+                           instant Now);
+
+/// Marks members down whose suspicion has lasted too long.
+void expireSuspicions(membership &Membership, instant Now);
+
+/// Records that a message from \p From arrived, which ends an isolation.
+void recordMessage(membership &Membership, const std::string &From,
+                   instant Now);
+
+/// Finds out whether this instance is cut off from all members.
+void updateIsolation(membership &Membership, instant Now);
+
+} // namespace amaranthhoist
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -13,6 +13,16 @@
 /// probes the suspected member itself, which also prompts the member to refute
 /// it, and drops the member only when no ack arrives.
 ///
+/// Failures are correlated: a failure domain or a region fails as a whole. At
+/// one probe per period and instance the last of many dead members would be
+/// probed only after several seconds, so each unanswered probe is followed by
+/// probes of further members of the same failure domain, and once several
+/// members of a domain are suspected, received suspicions of others take effect
+/// without being verified first. See docs/design/mass-failures.md.
+///
+/// An instance that receives nothing from any member is itself cut off: its
+/// suspicions are not sent, and end when it receives a message again.
+///
 /// A suspicion only reduces the use of a member: nothing here returns units or
 /// ends a key. Sans-I/O.
 #pragma once
@@ -20,10 +30,14 @@
 #include "Core/core.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace amaranthhoist {
@@ -40,6 +54,15 @@
   std::uint64_t Incarnation = 0;
 };
 
+/// Status of the member whose name has the hash \p NameHash (stableHash). Takes
+/// a third of the bytes of a member_update; instances of earlier builds ignore
+/// it.
+struct hashed_update {
+  std::uint64_t NameHash = 0;
+  member_status Status = member_status::Up;
+  std::uint64_t Incarnation = 0;
+};
+
 /// A probe, its ack, or a request to probe a third member.
 struct membership_message {
   enum class kind : std::uint8_t { Ping, Ack, IndirectPing };
@@ -50,6 +73,8 @@
   /// direct probe.
   std::string OnBehalfOf;
   std::vector<member_update> Updates;
+  /// Further updates, of other members than Updates.
+  std::vector<hashed_update> HashedUpdates;
 };
 
 /// To is a member; for responses it is the sender of the message.
@@ -77,24 +102,63 @@
   /// the rest waits.
   std::size_t MaxRechecksPerTick = 4;
   std::size_t MaxUpdatesPerMessage = 16;
-  /// Messages that carry a changed status.
-  int TransmissionsPerUpdate = 12;
+  /// Members to which a tick sends pending updates: one for so many of them,
+  /// within these bounds.
+  std::size_t UpdatesPerGossipReceiver = 16;
+  std::size_t MinGossipReceivers = 2;
+  std::size_t MaxGossipReceivers = 6;
+  /// Updates in addition to those, if receivers understand them.
+  std::size_t MaxHashedUpdatesPerMessage = 0;
+  /// Messages that carry a changed status: at least, and for each doubling of
+  /// the fleet, since a status spreads in as many steps.
+  int MinTransmissions = 12;
+  int TransmissionsPerDoubling = 2;
+  /// Members of the same failure domain that are probed after an unanswered
+  /// probe.
+  std::size_t FollowUpProbes = 8;
+  /// Bounds the follow-up probes sent in one tick.
+  std::size_t MaxFollowUpsPerTick = 4;
+  /// Members of a failure domain that have to be suspected or down for received
+  /// suspicions of others to take effect at once.
+  std::size_t CorrelatedFailures = 3;
+  /// An instance that has received nothing for this long counts as cut off.
+  /// Less than the time until it suspects a member, twice the AckTimeout.
+  duration IsolationTime = std::chrono::milliseconds(450);
 };
 
 struct member_state {
   member_status Status = member_status::Up;
   std::uint64_t Incarnation = 0;
   instant SuspectSince{};
-  /// Messages that will still carry this status.
+  /// Time of the last message received from it; none: never.
+  std::optional<instant> LastHeard;
+  /// Messages that have carried this status, and that still will.
+  int Transmissions = 0;
   int TransmissionsLeft = 0;
+  /// Empty if not known.
+  std::string FailureDomain;
+  /// Whether this instance suspected it while itself cut off.
+  bool IsSuspectedInIsolation = false;
+};
+
+/// The members of a failure domain, which are likely to fail together.
+struct member_group {
+  /// In random order.
+  std::vector<std::string> Names;
+  /// Position of the next to get a follow-up probe.
+  std::size_t NextFollowUp = 0;
+  /// Members of it that are suspected; those that are down don't count.
+  std::size_t Suspects = 0;
+  /// Follow-up probes still to be sent.
+  std::size_t FollowUpsLeft = 0;
 };
 
 /// A member that is suspected, and not yet considered down.
 struct suspected_member {
   /// Time of the next probe.
   instant NextRecheck{};
-  /// From then on the member counts as not up.
-  instant UsableUntil{};
+  /// From then on the member counts as not up; none: set by the first probe.
+  std::optional<instant> UsableUntil;
 };
 
 /// A member that this control responds for.
@@ -117,30 +181,55 @@
   membership_policy Policy;
   std::mt19937_64 Random;
   std::map<std::string, member_state> Members;
-  /// Members whose status is still to be sent, or that are suspected. A tick
-  /// and a message iterate over these alone, so that their cost doesn't grow
-  /// with the fleet.
-  std::set<std::string> Pending;
-  /// The first of them to include in the next message.
-  std::string NextUpdate;
-  /// Members that are suspected and may still respond.
+  /// The names of Members, for random picks whose cost doesn't grow with the
+  /// fleet.
+  std::vector<std::string> Names;
+  std::unordered_map<std::uint64_t, std::string> NamesByHash;
+  /// Members by failure domain.
+  std::map<std::string, member_group> Groups;
+  /// Members whose status is still to be sent, preceded by the number of
+  /// messages that have carried it: what is new goes first.
+  std::set<std::pair<int, std::string>> Pending;
+  /// Members that are suspected, or were until this instance's isolation ended.
+  /// A tick iterates over these alone, so that its cost doesn't grow with the
+  /// fleet.
   std::map<std::string, suspected_member> Suspected;
+  /// The first of them to probe in the next tick.
+  std::string NextRecheck;
   /// Members that count as suspected or down.
   std::set<std::string> NotUp;
+  /// Rises with each change of Members or NotUp, so that what is derived from
+  /// them is computed once for each change.
+  std::uint64_t Version = 0;
   /// Members still to be probed in this round.
   std::vector<std::string> Round;
   active_probe Probe;
   instant NextProbe{};
+  /// Failure domains in which follow-up probes are to be sent.
+  std::deque<std::string> FollowUpDomains;
+  /// Follow-up probes in progress, by subject: when they were sent.
+  std::map<std::string, instant> FollowUps;
+  /// Time of the last message from any member; none before the first tick.
+  std::optional<instant> LastHeard;
+  bool IsIsolated = false;
 };
 
 /// Sets the members of the fleet; own members may be included. New members
 /// count as up.
 void setMembers(membership &Membership, const std::set<std::string> &Names);
 
+/// Sets the members of the fleet together with their failure domains.
+void setMembersWithDomains(
+    membership &Membership,
+    const std::map<std::string, std::string> &FailureDomains);
+
 /// Sets the members that this control responds for.
 void setOwnMembers(membership &Membership,
                    const std::vector<std::string> &Names);
 
+/// Returns the number of messages that carry a changed status.
+int transmissionsPerUpdate(const membership &Membership);
+
 /// Sends probes, escalates unanswered ones and expires suspicions.
 std::vector<outgoing_membership_message> membershipTick(membership &Membership,
                                                         instant Now);
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -11,6 +11,13 @@
   counter @2 :UInt64;
 }
 
+# Status of the member whose name has this hash.
+struct HashedBelief {
+  nameHash @0 :UInt64;
+  counter @1 :UInt32;
+  status @2 :UInt8;
+}
+
 struct CrashReport {
   content @0 :UInt64;
   generation @1 :UInt32;
@@ -52,6 +59,8 @@
   # Version of the configuration in force at the sender; 0: none, or an earlier
   # build.
   configurationVersion @10 :Int64;
+  # Instances of earlier builds ignore them.
+  hashedBeliefs @11 :List(HashedBelief);
 }
 
 struct ObjectChange {
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(b85c28ac47d6e2ad);
+CAPNP_DECLARE_SCHEMA(dfa9dfd0eb90bdac);
 CAPNP_DECLARE_SCHEMA(8e2a4f131e9c7f26);
 CAPNP_DECLARE_SCHEMA(bf32c26676b5cef1);
 CAPNP_DECLARE_SCHEMA(f469534cba7b12d2);
@@ -47,6 +48,21 @@
   };
 };
 
+struct HashedBelief {
+  HashedBelief() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfa9dfd0eb90bdac, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CrashReport {
   CrashReport() = delete;
 
@@ -100,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9e71e0a2afa59a12, 3, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -260,6 +276,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class HashedBelief::Reader {
+public:
+  typedef HashedBelief Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNameHash() const;
+
+  inline  ::uint32_t getCounter() const;
+
+  inline  ::uint8_t getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HashedBelief::Builder {
+public:
+  typedef HashedBelief Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNameHash();
+  inline void setNameHash( ::uint64_t value);
+
+  inline  ::uint32_t getCounter();
+  inline void setCounter( ::uint32_t value);
+
+  inline  ::uint8_t getStatus();
+  inline void setStatus( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HashedBelief::Pipeline {
+public:
+  typedef HashedBelief Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashReport::Reader {
 public:
   typedef CrashReport Reads;
@@ -606,6 +708,9 @@
 
   inline  ::int64_t getConfigurationVersion() const;
 
+  inline bool hasHashedBeliefs() const;
+  inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Reader getHashedBeliefs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -699,6 +804,13 @@
   inline  ::int64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::int64_t value);
 
+  inline bool hasHashedBeliefs();
+  inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Builder getHashedBeliefs();
+  inline void setHashedBeliefs( ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Builder initHashedBeliefs(unsigned int size);
+  inline void adoptHashedBeliefs(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>> disownHashedBeliefs();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1184,6 +1296,48 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HashedBelief::Reader::getNameHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HashedBelief::Builder::getNameHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HashedBelief::Builder::setNameHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HashedBelief::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HashedBelief::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HashedBelief::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t HashedBelief::Reader::getStatus() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t HashedBelief::Builder::getStatus() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void HashedBelief::Builder::setStatus( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashReport::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1746,6 +1900,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Reader::hasHashedBeliefs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasHashedBeliefs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getHashedBeliefs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getHashedBeliefs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setHashedBeliefs( ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initHashedBeliefs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptHashedBeliefs(
+    ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownHashedBeliefs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool ObjectChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -77,23 +77,38 @@
   }
 }
 
-std::string encodeDatagram(const peer_datagram &Datagram) {
-  capnp::MallocMessageBuilder Builder;
-  auto Root = Builder.initRoot<datagram::Datagram>();
-  Root.setSender(Datagram.Sender);
-  Root.setControl(Datagram.Control);
-  Root.setConfigurationVersion(Datagram.ConfigurationVersion);
-  Root.setKind(static_cast<std::uint8_t>(Datagram.Message.Kind));
-  Root.setSubject(Datagram.Message.Subject);
-  Root.setOnBehalfOf(Datagram.Message.OnBehalfOf);
+static void writeMembership(datagram::Datagram::Builder Root,
+                            const membership_message &Message) {
+  Root.setKind(static_cast<std::uint8_t>(Message.Kind));
+  Root.setSubject(Message.Subject);
+  Root.setOnBehalfOf(Message.OnBehalfOf);
   auto Beliefs =
-      Root.initBeliefs(static_cast<unsigned>(Datagram.Message.Updates.size()));
+      Root.initBeliefs(static_cast<unsigned>(Message.Updates.size()));
   for (unsigned Index = 0; Index < Beliefs.size(); ++Index) {
-    const member_update &Update = Datagram.Message.Updates[Index];
+    const member_update &Update = Message.Updates[Index];
     Beliefs[Index].setName(Update.Name);
     Beliefs[Index].setStatus(static_cast<std::uint8_t>(Update.Status));
     Beliefs[Index].setCounter(Update.Incarnation);
   }
+  if (Message.HashedUpdates.empty())
+    return;
+  auto Hashed = Root.initHashedBeliefs(
+      static_cast<unsigned>(Message.HashedUpdates.size()));
+  for (unsigned Index = 0; Index < Hashed.size(); ++Index) {
+    const hashed_update &Update = Message.HashedUpdates[Index];
+    Hashed[Index].setNameHash(Update.NameHash);
+    Hashed[Index].setStatus(static_cast<std::uint8_t>(Update.Status));
+    Hashed[Index].setCounter(static_cast<std::uint32_t>(Update.Incarnation));
+  }
+}
+
+std::string encodeDatagram(const peer_datagram &Datagram) {
+  capnp::MallocMessageBuilder Builder;
+  auto Root = Builder.initRoot<datagram::Datagram>();
+  Root.setSender(Datagram.Sender);
+  Root.setControl(Datagram.Control);
+  Root.setConfigurationVersion(Datagram.ConfigurationVersion);
+  writeMembership(Root, Datagram.Message);
   writeCrashes(Root, Datagram.Crashes);
   writeQuota(Root, Datagram);
   return toBytes(Builder);
@@ -127,25 +142,47 @@
          duration(Response.getRetryAfterUs()), Response.getIsUnavailable()});
 }
 
-static std::optional<peer_datagram> read(datagram::Datagram::Reader Root) {
-  peer_datagram Datagram;
+static std::optional<member_status> readStatus(unsigned Status) {
+  if (Status > static_cast<unsigned>(member_status::Down))
+    return std::nullopt;
+  return static_cast<member_status>(Status);
+}
+
+static std::optional<membership_message>
+readMembership(datagram::Datagram::Reader Root) {
   const unsigned Kind = Root.getKind();
   if (Kind > static_cast<unsigned>(membership_message::kind::IndirectPing))
     return std::nullopt;
-  Datagram.Sender = Root.getSender().cStr();
-  Datagram.Control = Root.getControl().cStr();
-  Datagram.ConfigurationVersion = Root.getConfigurationVersion();
-  Datagram.Message.Kind = static_cast<membership_message::kind>(Kind);
-  Datagram.Message.Subject = Root.getSubject().cStr();
-  Datagram.Message.OnBehalfOf = Root.getOnBehalfOf().cStr();
+  membership_message Message;
+  Message.Kind = static_cast<membership_message::kind>(Kind);
+  Message.Subject = Root.getSubject().cStr();
+  Message.OnBehalfOf = Root.getOnBehalfOf().cStr();
   for (const auto Belief : Root.getBeliefs()) {
-    const unsigned Status = Belief.getStatus();
-    if (Status > static_cast<unsigned>(member_status::Down))
+    const auto Status = readStatus(Belief.getStatus());
+    if (!Status)
+      return std::nullopt;
+    Message.Updates.push_back(
+        {Belief.getName().cStr(), *Status, Belief.getCounter()});
+  }
+  for (const auto Belief : Root.getHashedBeliefs()) {
+    const auto Status = readStatus(Belief.getStatus());
+    if (!Status)
       return std::nullopt;
-    Datagram.Message.Updates.push_back({Belief.getName().cStr(),
-                                        static_cast<member_status>(Status),
-                                        Belief.getCounter()});
+    Message.HashedUpdates.push_back(
+        {Belief.getNameHash(), *Status, Belief.getCounter()});
   }
+  return Message;
+}
+
+static std::optional<peer_datagram> read(datagram::Datagram::Reader Root) {
+  auto Message = readMembership(Root);
+  if (!Message)
+    return std::nullopt;
+  peer_datagram Datagram;
+  Datagram.Message = std::move(*Message);
+  Datagram.Sender = Root.getSender().cStr();
+  Datagram.Control = Root.getControl().cStr();
+  Datagram.ConfigurationVersion = Root.getConfigurationVersion();
   Datagram.Crashes = readCrashes(Root);
   readQuota(Root, Datagram);
   return Datagram;
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -11,6 +11,12 @@
 /// Tick period of the membership: a few ticks within its shortest timeout (300
 /// ms).
 static constexpr duration TickPeriod = std::chrono::milliseconds(150);
+/// Statuses in one datagram, which then fits 1,472 bytes: 48 each with a name
+/// of 20 letters, 16 with its hash.
+static constexpr std::size_t MaxNamedUpdates = 12;
+static constexpr std::size_t MaxHashedUpdates = 42;
+/// Lost or returned peers that one tick logs by name.
+static constexpr std::size_t MaxPeersLogged = 8;
 /// Number of instances that receive new crash reports in one tick.
 static constexpr int ReceiversPerTick = 2;
 /// Larger than any datagram that a node sends.
@@ -22,7 +28,10 @@
     std::function<void(const peer_datagram &)> OnQuota)
     : Node(Node), OnPeerSeen(std::move(OnPeerSeen)),
       OnPeerVersion(std::move(OnPeerVersion)), OnQuota(std::move(OnQuota)) {
-  Node.Fleet.Membership.Policy.ProbePeriod = std::chrono::milliseconds(500);
+  membership_policy &Policy = Node.Fleet.Membership.Policy;
+  Policy.ProbePeriod = std::chrono::milliseconds(500);
+  Policy.MaxUpdatesPerMessage = MaxNamedUpdates;
+  Policy.MaxHashedUpdatesPerMessage = MaxHashedUpdates;
   Node.Fleet.Membership.Random.seed(stableHash(Node.Settings.Instance));
   setOwnMembers(Node.Fleet.Membership, {Node.Settings.Instance});
   Node.Loop.runEvery(TickPeriod, [this] { tick(); });
@@ -181,18 +190,26 @@
     send(membership_message{}, std::move(Crashes), *To);
 }
 
+void peer_link::logPeers(const char *Event,
+                         const std::set<std::string> &Current,
+                         const std::set<std::string> &Previous) {
+  std::size_t Count = 0;
+  for (const std::string &Name : Current)
+    if (!Previous.contains(Name) && ++Count <= MaxPeersLogged)
+      Node.Log.write(log_kind::ClusterState, Event, {{"peer", Name}},
+                     Node.Loop.now());
+  if (Count > MaxPeersLogged)
+    Node.Log.write(log_kind::ClusterState, Event,
+                   {{"more_peers", std::to_string(Count - MaxPeersLogged)}},
+                   Node.Loop.now());
+}
+
 void peer_link::logMembershipChanges() {
   const std::set<std::string> &Down = downMembers(Node.Fleet.Membership);
   if (Down == LoggedDown)
     return;
-  for (const std::string &Name : Down)
-    if (!LoggedDown.contains(Name))
-      Node.Log.write(log_kind::ClusterState, "peer_lost", {{"peer", Name}},
-                     Node.Loop.now());
-  for (const std::string &Name : LoggedDown)
-    if (!Down.contains(Name))
-      Node.Log.write(log_kind::ClusterState, "peer_back", {{"peer", Name}},
-                     Node.Loop.now());
+  logPeers("peer_lost", Down, LoggedDown);
+  logPeers("peer_back", LoggedDown, Down);
   LoggedDown = Down;
 }
 
--- a/Services/Node/peer_link.h
+++ b/Services/Node/peer_link.h
@@ -46,6 +46,10 @@
                    const fleet_member &Member);
   void sendAll(std::span<const outgoing_membership_message> Messages);
   void logMembershipChanges();
+  /// Logs the peers that are in \p Current but not in \p Previous, a bounded
+  /// number of them by name.
+  void logPeers(const char *Event, const std::set<std::string> &Current,
+                const std::set<std::string> &Previous);
 
   node &Node;
   std::function<void(const std::string &)> OnPeerSeen;
