StateSpread: an instance's place in the tree is computed once for each change of the fleet

Change: a version of the membership's view that rises with each change; role, rank and primary sources are kept until it does, and each name is hashed once for a ranking. The order of all sources is still computed when the primary ones have failed.

Test: fleet_test PlaceInTheTreeFollowsChangesOfTheFleet.

--- a/Libraries/StateSpread/source_polls.cpp
+++ b/Libraries/StateSpread/source_polls.cpp
@@ -27,23 +27,24 @@
 /// tried again.
 static constexpr int ResponsesBeforeReturn = 10;
 
-static std::vector<const fleet_member *> sourcesOf(const source_polls &Polls,
-                                                   const fleet &Fleet) {
-  auto Sources = primarySources(Fleet);
+/// Returns the source at the current position; nullptr if there is none.
+static const fleet_member *sourceOf(const source_polls &Polls,
+                                    const fleet &Fleet) {
+  const std::vector<std::string> &Primary = Polls.Place.PrimarySources;
+  if (!Polls.IsDisconnected && Polls.Position < Primary.size()) {
+    const auto Source = Fleet.Members.find(Primary[Polls.Position]);
+    return Source == Fleet.Members.end() ? nullptr : &Source->second;
+  }
   // Computing the whole order visits all instances.
-  if (Polls.IsDisconnected || Polls.Position >= Sources.size())
-    Sources = orderedSources(Fleet, Polls.IsDisconnected);
-  return Sources;
+  const auto Sources = orderedSources(Fleet, Polls.IsDisconnected);
+  return Sources.empty() ? nullptr : Sources[Polls.Position % Sources.size()];
 }
 
 static std::optional<poll_start>
 chooseSource(const source_polls &Polls, const fleet &Fleet,
              std::span<const std::string> All) {
-  const auto Sources = sourcesOf(Polls, Fleet);
-  if (!Sources.empty()) {
-    const fleet_member &Source = *Sources[Polls.Position % Sources.size()];
-    return poll_start{0, Source.Name, Source.Control};
-  }
+  if (const fleet_member *Source = sourceOf(Polls, Fleet))
+    return poll_start{0, Source->Name, Source->Control};
   std::vector<std::string> Seeds(All.begin(), All.end());
   std::erase(Seeds, Fleet.Own.Control);
   if (Seeds.empty())
@@ -87,7 +88,8 @@
   }
   if (Now < Polls.NextPollAt)
     return std::nullopt;
-  const bool IsRelay = ownRole(Fleet) == distribution_role::Relay;
+  const bool IsRelay =
+      updatePlace(Polls.Place, Fleet).Role == distribution_role::Relay;
   Polls.NextPollAt = Now + (IsRelay ? RelayPollPeriod : PollPeriod);
   auto Start = chooseSource(Polls, Fleet, Seeds);
   if (!Start)
@@ -110,7 +112,8 @@
   Polls.Position = Position;
   Polls.Failures = 0;
   const bool IsRegular =
-      Polls.IsDisconnected || Position < primarySources(Fleet).size();
+      Polls.IsDisconnected ||
+      Position < updatePlace(Polls.Place, Fleet).PrimarySources.size();
   if (!IsRegular && ++Polls.FallbackResponses >= ResponsesBeforeReturn) {
     Polls.Position = 0;
     Polls.FallbackResponses = 0;
--- a/Libraries/StateSpread/source_polls.h
+++ b/Libraries/StateSpread/source_polls.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Fleet/fleet.h"
+#include "StateSpread/spread_tree.h"
 
 #include <array>
 #include <cstddef>
@@ -37,6 +38,7 @@
   int FallbackResponses = 0;
   instant NextPollAt{};
   std::array<source_poll, MaxPolls> InFlight;
+  tree_place Place;
 };
 
 /// A poll to send in the slot \p Slot of InFlight, which replaces the poll in
--- a/Libraries/StateSpread/spread_tree.cpp
+++ b/Libraries/StateSpread/spread_tree.cpp
@@ -13,25 +13,43 @@
 
 using members = std::vector<const fleet_member *>;
 
-static bool isPreferred(const fleet_member *Left, const fleet_member *Right) {
+namespace {
+
+/// A member and what it is ranked by.
+struct ranked_member {
+  double Processor = 0;
+  std::uint64_t NameHash = 0;
+  const fleet_member *Member = nullptr;
+};
+
+} // namespace
+
+static bool isPreferred(const ranked_member &Left, const ranked_member &Right) {
   // Larger instances are preferred, since they forward all changes; a small
   // instance's slow link can't serve many others.
-  if (Left->Processor != Right->Processor)
-    return Left->Processor > Right->Processor;
-  return stableHash(Left->Name) < stableHash(Right->Name);
+  if (Left.Processor != Right.Processor)
+    return Left.Processor > Right.Processor;
+  return Left.NameHash < Right.NameHash;
 }
 
 /// Returns this instance, unless it is shutting down, and all members that are
 /// up, ordered by preference.
 template <typename Predicate>
 static members rankedUpMembers(const fleet &Fleet, Predicate Matches) {
-  members Members;
+  std::vector<ranked_member> Ranked;
+  const auto Add = [&](const fleet_member &Member) {
+    Ranked.push_back({Member.Processor, stableHash(Member.Name), &Member});
+  };
   if (!Fleet.OwnIsShuttingDown && Matches(Fleet.Own))
-    Members.push_back(&Fleet.Own);
+    Add(Fleet.Own);
   for (const auto &[Name, Member] : Fleet.Members)
     if (Matches(Member) && isUp(Fleet.Membership, Name))
-      Members.push_back(&Member);
-  std::sort(Members.begin(), Members.end(), isPreferred);
+      Add(Member);
+  std::sort(Ranked.begin(), Ranked.end(), isPreferred);
+  members Members;
+  Members.reserve(Ranked.size());
+  for (const ranked_member &Member : Ranked)
+    Members.push_back(Member.Member);
   return Members;
 }
 
@@ -166,4 +184,18 @@
   return Sources;
 }
 
+const tree_place &updatePlace(tree_place &Place, const fleet &Fleet) {
+  if (Place.Version == Fleet.Membership.Version &&
+      Place.IsShuttingDown == Fleet.OwnIsShuttingDown)
+    return Place;
+  Place = {Fleet.Membership.Version,
+           Fleet.OwnIsShuttingDown,
+           ownRole(Fleet),
+           ownRank(Fleet),
+           {}};
+  for (const fleet_member *Source : primarySources(Fleet))
+    Place.PrimarySources.push_back(Source->Name);
+  return Place;
+}
+
 } // namespace amaranthhoist
--- a/Libraries/StateSpread/spread_tree.h
+++ b/Libraries/StateSpread/spread_tree.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace amaranthhoist {
@@ -52,4 +53,21 @@
 std::vector<const fleet_member *> orderedSources(const fleet &Fleet,
                                                  bool IsDisconnected);
 
+/// This instance's place in the tree, computed once for each change of the
+/// fleet: ranking 986 instances at each poll and each decision took a fifth of
+/// a small instance's processor time.
+struct tree_place {
+  /// The fleet for which the rest was computed; none: not computed yet.
+  std::optional<std::uint64_t> Version;
+  bool IsShuttingDown = false;
+
+  distribution_role Role = distribution_role::Leaf;
+  std::optional<std::size_t> Rank;
+  /// Names of the primary sources, in order.
+  std::vector<std::string> PrimarySources;
+};
+
+/// Brings \p Place up to date and returns it.
+const tree_place &updatePlace(tree_place &Place, const fleet &Fleet);
+
 } // namespace amaranthhoist
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -69,8 +69,8 @@
   return isCurrent() ? duration::zero() : Node.Loop.now() - freshAt();
 }
 
-static std::string_view roleName(const fleet &Fleet) {
-  switch (ownRole(Fleet)) {
+static std::string_view roleName(distribution_role Role) {
+  switch (Role) {
   case distribution_role::Watcher:
     return "watcher";
   case distribution_role::Relay:
@@ -83,7 +83,7 @@
 
 store_status store_sync::status() const {
   return {UsesStore ? "store" : Relay.sourceName(),
-          roleName(Node.Fleet),
+          roleName(ownRole(Node.Fleet)),
           age(),
           State.configurationAge(),
           HadProbeTimeout,
@@ -99,7 +99,7 @@
   renewSlackLease(Node.Steering.RetryBudget, Now - age(), Now);
   updateInformed();
   const watch_inputs View{
-      ownRank(Node.Fleet),
+      updatePlace(Place, Node.Fleet).Rank,
       age(),
       Now - std::max({BootstrappedAt, RespondedAt, Relay.respondedAt()}),
       Now - BootstrappedAt,
--- a/Services/Node/store_sync.h
+++ b/Services/Node/store_sync.h
@@ -103,6 +103,7 @@
   store_connection Prober;
   store_connection Cleaner;
   watch_duty Duty;
+  tree_place Place;
   bool HasFullState = false;
   instant BootstrappedAt{};
   /// Whether this node's object was listed when bootstrap finished.
--- a/Tests/fleet_test.cpp
+++ b/Tests/fleet_test.cpp
@@ -116,6 +116,28 @@
   CHECK(ownRole(Fleet) == distribution_role::Watcher);
 }
 
+// Guards against polls that rank the whole fleet each time: the place in the
+// tree is computed again only when the fleet has changed.
+TEST(Fleet, PlaceInTheTreeFollowsChangesOfTheFleet) {
+  fleet Fleet =
+      makeFleet({makeMember(1, "a1", "a", 0.5), makeMember(2, "a2", "a", 0.5),
+                 makeMember(3, "a1", "a")});
+  tree_place Place;
+  CHECK(updatePlace(Place, Fleet).Role == distribution_role::Leaf);
+  LONGS_EQUAL(2, Place.PrimarySources.size());
+  // Stays whatever it is as long as nothing changes.
+  Place.PrimarySources = {"unchanged"};
+  CHECK_EQUAL(std::string("unchanged"),
+              updatePlace(Place, Fleet).PrimarySources.front());
+  markDown(Fleet, "n1");
+  markDown(Fleet, "n3");
+  CHECK(updatePlace(Place, Fleet).Role == distribution_role::Watcher);
+  LONGS_EQUAL(1, Place.PrimarySources.size());
+  CHECK_EQUAL(std::string("n2"), Place.PrimarySources.front());
+  Fleet.OwnIsShuttingDown = true;
+  CHECK(updatePlace(Place, Fleet).Role != distribution_role::Watcher);
+}
+
 // Guards against all nodes of a region handling requests by a configuration
 // that was replaced three seconds before. The store refuses the region's two
 // watchers; each polls the other one, whose state isn't stale yet, and keeps
