Node: a change of one instance decodes that instance alone

Decoded members are kept instead of texts, and a change decodes its own. The list of members and what is derived from it is still rebuilt at each change.

Unreadable objects are logged once when they arrive instead of at each later change of another instance; they count as absent, as before. node-process-tests cover both paths.

--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -183,10 +183,7 @@
     applyEvacuation(Change);
     return;
   case object_kind::Instance:
-    if (Change.IsDeleted)
-      InstanceTexts.erase(Change.Name);
-    else
-      InstanceTexts[Change.Name] = Change.Text;
+    applyInstance(Change);
     return;
   }
 }
@@ -281,15 +278,22 @@
                  {{"failure_domain", Change.Name}}, Node.Loop.now());
 }
 
+void replicated_state::applyInstance(const object_change &Change) {
+  Instances.erase(Change.Name);
+  if (Change.IsDeleted)
+    return;
+  auto Member = platform::decodeMember(Change.Text);
+  if (Member)
+    Instances.emplace(Change.Name, std::move(*Member));
+  else
+    logUnreadable(object_kind::Instance, Change.Name, Member.error().Message);
+}
+
 void replicated_state::applyInstances() {
   std::vector<fleet_member> Members;
-  for (const auto &[Name, Text] : InstanceTexts) {
-    auto Member = platform::decodeMember(Text);
-    if (Member)
-      Members.push_back(std::move(*Member));
-    else
-      logUnreadable(object_kind::Instance, Name, Member.error().Message);
-  }
+  Members.reserve(Instances.size());
+  for (const auto &[Name, Member] : Instances)
+    Members.push_back(Member);
   std::vector<coordinator_candidate> Candidates;
   Candidates.reserve(Members.size());
   for (const fleet_member &Member : Members)
--- a/Services/Node/replicated_state.h
+++ b/Services/Node/replicated_state.h
@@ -58,6 +58,7 @@
   void logRevokedKeys(const account_directory &Former);
   void applyTarget(const object_change &Change);
   void applyEvacuation(const object_change &Change);
+  void applyInstance(const object_change &Change);
   void applyInstances();
   void logRejected(const kind_changes &Changes);
   void logUnreadable(object_kind Kind, std::string_view Name,
@@ -68,8 +69,8 @@
   node &Node;
   object_cache Cache;
   std::array<deferred_changes, ObjectKinds> Deferred;
-  /// The listed instances' objects, by name.
-  text_map<std::string> InstanceTexts;
+  /// The listed instances whose objects are readable, by name.
+  text_map<fleet_member> Instances;
   list_completeness Trust;
   instant ConfigurationAppliedAt{};
   std::function<void()> OnFullState;
