Membership: a failure domain counts as failed from a share of its members on

Change: more than one in eight members, more than three and nine at most; six follow-up probes a tick instead of four. With four follow-ups unit-tests -g MassFailure HalfOfAllProcessesAreDroppedByAll failed, 3 of 21,546 pairs after 2 s; with six all pass. Without the upper bound DeadMembersAreDroppedByAll failed.

--- a/Libraries/Membership/member_status.cpp
+++ b/Libraries/Membership/member_status.cpp
@@ -12,10 +12,20 @@
   return Membership.Random() % Others < Membership.Policy.ExpectedVerifiers;
 }
 
+/// Returns the suspected members from which on a failure domain has probably
+/// failed as a whole.
+static std::size_t correlatedSuspects(const membership_policy &Policy,
+                                      const member_group &Group) {
+  return 1 + std::clamp(Group.Names.size() / Policy.MembersPerCorrelatedFailure,
+                        Policy.MinCorrelatedFailures,
+                        Policy.MaxCorrelatedFailures);
+}
+
 bool isCorrelated(const membership &Membership, const member_state &Member) {
   const auto Group = Membership.Groups.find(Member.FailureDomain);
   return Group != Membership.Groups.end() &&
-         Group->second.Suspects > Membership.Policy.CorrelatedFailures;
+         Group->second.Suspects >=
+             correlatedSuspects(Membership.Policy, Group->second);
 }
 
 void setUp(membership &Membership, const std::string &Name, bool IsUp) {
@@ -61,7 +71,7 @@
   if (Member.Status == member_status::Suspect && --Group.Suspects == 0)
     Group.FollowUpsLeft = 0;
   if (Next == member_status::Suspect &&
-      ++Group.Suspects == Membership.Policy.CorrelatedFailures + 1)
+      ++Group.Suspects == correlatedSuspects(Membership.Policy, Group))
     planFollowUpsEverywhere(Membership);
 }
 
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -117,10 +117,12 @@
   /// probe.
   std::size_t FollowUpProbes = 8;
   /// Bounds the follow-up probes sent in one tick.
-  std::size_t MaxFollowUpsPerTick = 4;
-  /// Members of a failure domain that have to be suspected or down for received
-  /// suspicions of others to take effect at once.
-  std::size_t CorrelatedFailures = 3;
+  std::size_t MaxFollowUpsPerTick = 6;
+  /// Other members of a failure domain that have to be suspected for received
+  /// suspicions to take effect at once: one of so many, within these bounds.
+  std::size_t MembersPerCorrelatedFailure = 8;
+  std::size_t MinCorrelatedFailures = 3;
+  std::size_t MaxCorrelatedFailures = 8;
   /// An instance that has received nothing for this long counts as cut off.
   /// Less than the time until it suspects a member, twice the AckTimeout.
   duration IsolationTime = std::chrono::milliseconds(450);
