Node: a process that is younger than its confirmed state is uninformed

Cause: after a start all members count as up, so a node that knew nothing of the last seconds counted itself as informed and took servers from its peers as not cold.

Change: a node is uninformed as well while its state was confirmed before its own start and is older than 2 s. The rule moved from the node into StateSpread, with a test that fails without it: unit-tests -g StateSpread ProcessesYoungerThanTheStateAreUninformed.

--- a/Libraries/StateSpread/state_freshness.h
+++ b/Libraries/StateSpread/state_freshness.h
@@ -6,6 +6,8 @@
 
 #include "Core/core.h"
 
+#include <cstddef>
+
 namespace amaranthhoist {
 
 /// Period of the checks.
@@ -24,4 +26,19 @@
 /// Whether the state counts as current: the next check isn't overdue.
 bool isConfirmed(const state_freshness &Freshness, instant Now);
 
+/// What an instance knows of the time since its state was confirmed.
+struct informed_inputs {
+  /// Age of the state.
+  duration StateAge{};
+  /// Time since this process completed its bootstrap.
+  duration SinceBootstrap{};
+  std::size_t OtherInstances = 0;
+  /// Those of them that count as suspected or down.
+  std::size_t InstancesDown = 0;
+};
+
+/// Whether servers may have become cold without this instance's notice: its
+/// state is old, and it has not heard nearly all others ever since.
+bool isUninformed(const informed_inputs &Inputs);
+
 } // namespace amaranthhoist
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -22,12 +22,6 @@
 /// round trips over the longest links, 170 ms, and as much again when all
 /// instances start together.
 static constexpr duration BootstrapTimeout = std::chrono::milliseconds(400);
-/// Age of the state from which on servers may have become cold without this
-/// node's notice: the delay of a change on its longest path, and detection.
-static constexpr duration MaxInformedAge = std::chrono::milliseconds(2'000);
-/// Share of the other instances that a node has to hear to know as much as any
-/// of them while nobody reaches the store.
-static constexpr double MinHeardShare = 0.75;
 /// An instance that was down for this long counts as removed; its object is
 /// deleted. Far longer than a restart takes.
 static constexpr duration DeadInstanceTimeout = std::chrono::seconds(30);
@@ -117,20 +111,21 @@
 }
 
 void store_sync::updateInformed() {
-  const auto Others = static_cast<double>(Node.Fleet.Members.size());
-  const auto Down =
-      static_cast<double>(downMembers(Node.Fleet.Membership).size());
-  const bool IsUninformed =
-      age() > MaxInformedAge && Others - Down < MinHeardShare * Others;
+  const informed_inputs Inputs{age(), Node.Loop.now() - BootstrappedAt,
+                               Node.Fleet.Members.size(),
+                               downMembers(Node.Fleet.Membership).size()};
+  const bool IsUninformed = isUninformed(Inputs);
   if (Node.Steering.IsUninformed == IsUninformed)
     return;
   Node.Steering.IsUninformed = IsUninformed;
-  Node.Log.write(log_kind::ClusterState,
-                 IsUninformed ? "state_unconfirmed" : "state_confirmed",
-                 {{"age_ms", age().count() / 1'000},
-                  {"others", static_cast<std::int64_t>(Others)},
-                  {"others_down", static_cast<std::int64_t>(Down)}},
-                 Node.Loop.now());
+  Node.Log.write(
+      log_kind::ClusterState,
+      IsUninformed ? "state_unconfirmed" : "state_confirmed",
+      {{"age_ms", Inputs.StateAge.count() / 1'000},
+       {"up_ms", Inputs.SinceBootstrap.count() / 1'000},
+       {"others", static_cast<std::int64_t>(Inputs.OtherInstances)},
+       {"others_down", static_cast<std::int64_t>(Inputs.InstancesDown)}},
+      Node.Loop.now());
 }
 
 void store_sync::decideDuringBootstrap() {
--- a/Tests/state_spread_test.cpp
+++ b/Tests/state_spread_test.cpp
@@ -6,6 +6,7 @@
 #include "StateSpread/bootstrap.h"
 #include "StateSpread/snapshot_throttle.h"
 #include "StateSpread/spread_tree.h"
+#include "StateSpread/state_freshness.h"
 #include "StateSpread/watch_duty.h"
 #include "fleet_start.h"
 
@@ -279,3 +280,17 @@
       CHECK_COMPARE(Count, <=, 32U);
   }
 }
+
+// Guards against cold servers that get more requests than they bear from
+// instances that all restarted while the store was away: they count each other
+// as up, but none has seen which servers became cold.
+TEST(StateSpread, ProcessesYoungerThanTheStateAreUninformed) {
+  informed_inputs Inputs{seconds(3), milliseconds(800), 73, 0};
+  CHECK(isUninformed(Inputs));
+  Inputs.SinceBootstrap = seconds(4);
+  CHECK(!isUninformed(Inputs));
+  Inputs.InstancesDown = 30;
+  CHECK(isUninformed(Inputs));
+  Inputs = {milliseconds(1'500), milliseconds(800), 73, 30};
+  CHECK(!isUninformed(Inputs));
+}
