--- a/Libraries/StateSpread/spread_tree.h
+++ b/Libraries/StateSpread/spread_tree.h
@@ -54,8 +54,8 @@
                                                  bool IsDisconnected);
 
 /// This instance's place in the tree, computed once for each change of the
-/// fleet: ranking 986 instances at each poll and each decision took a fifth of
-/// a small instance's processor time.
+/// fleet: polls and decisions need it many times a second, and ranking visits
+/// all members.
 struct tree_place {
   /// The fleet for which the rest was computed; none: not computed yet.
   std::optional<std::uint64_t> Version;
