--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the review's scripts start, into review/build/.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p build
+for CASE in [0-9]*/case.cpp; do
+  NUMBER=$(dirname "$CASE")
+  ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread -o "build/case-$NUMBER" "$CASE" &
+  PIDS="${PIDS:-} $!"
+done
+for PID in ${PIDS:-}; do wait "$PID"; done
