--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
-/// A client of one tenant names another tenant in a header field while the node
-/// that it is connected to is cut off from the servers. Usage, in the
-/// repository's root: PROGRAM RECORD.
+/// A client of one tenant names another tenant in a header field while the
+/// servers of its service have lost the path to the node that it is connected
+/// to. Usage, in the repository's root: PROGRAM RECORD.
 #include "../standin/standin.h"
 
 using namespace review;
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr double Touch = 4;
-/// `node_cut` lasts 5.5 s in the site file.
-constexpr double CutTime = 5.5;
+/// The cut: two of the ten servers (share .2) lose the path to one of the four
+/// machines (a share x of .3 at most) for 5 s, and open connections are reset.
+constexpr double CutTime = 5;
+constexpr int OtherServers = 8;
 
 /// A proxy between one machine and one target, which can be cut.
 class path {
@@ -64,18 +66,26 @@
   store Store;
   std::vector<std::unique_ptr<target>> Targets;
   std::vector<std::unique_ptr<path>> Paths;
-  const std::vector<const char *> Zones = {"a1", "b1", "c1"};
-  for (const char *Zone : Zones) {
+  for (const char *Zone : {"a1", "b1"}) {
     Targets.push_back(std::make_unique<target>(std::string("server-") + Zone,
                                                0.03, 2'000));
     Paths.push_back(std::make_unique<path>(*Targets.back()));
     Store.put("servers", Targets.back()->Id,
               Targets.back()->entry("desk", Zone, "ready", 1));
   }
+  std::vector<std::unique_ptr<target>> Others;
+  for (int Index = 0; Index < OtherServers; ++Index) {
+    Others.push_back(std::make_unique<target>("other-" + std::to_string(Index),
+                                              0.03, 2'000));
+    Store.put("servers", Others.back()->Id,
+              Others.back()->entry("pack", Index % 2 == 0 ? "a1" : "c1",
+                                   "ready", 1));
+  }
   Store.put("config", "main",
             makeConfiguration(1,
                               {{"/safe/", "safe", "desk"},
-                               {"/once/", "unsafe", "desk"}},
+                               {"/once/", "unsafe", "desk"},
+                               {"/pack/", "safe", "pack"}},
                               {{"tenant-a", "key-of-a"},
                                {"tenant-b", "key-of-b"}}));
   // On loopback all machines have the same paths. The machine that is to be cut
@@ -93,9 +103,10 @@
 
   auto Deployment = std::make_unique<deployment>();
   // No seeds: each node reads the store itself.
-  for (const char *Zone : {"a1", "b1"}) {
-    node &Node = Deployment->add(std::string("node-") + Zone, Zone,
-                                 std::string(Zone, 1), Store.address());
+  for (const char *Name : {"node-a1", "node-a1-2", "node-b1"}) {
+    const std::string Zone(Name + 5, 2);
+    node &Node =
+        Deployment->add(Name, Zone, Zone.substr(0, 1), Store.address());
     Deployment->start(Node);
     if (!Deployment->waitReady(Node, 10))
       endScript(Deployment, 2, "couldn't run: a node isn't ready");
@@ -138,13 +149,13 @@
   if (hasTrouble()) {
     for (const auto &Path : Paths)
       Path->cut();
-    record("node-c1 is cut off from the servers");
+    record("the two servers of the service lose the path to node-c1");
   }
   SendFor(CutTime);
   if (hasTrouble()) {
     for (const auto &Path : Paths)
       Path->heal();
-    record("node-c1 reaches the servers again");
+    record("the path is back");
   }
   SendFor(1);
 
