--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -586,7 +586,9 @@
              Path.c_str(), Tenant.empty() ? "" : " for tenant ",
              Tenant.c_str());
       sleepFor(Work);
-      const std::string Body(BodyBytes, 'x');
+      // A request for something small.
+      const bool IsSmall = Path.find("/small-") != std::string::npos;
+      const std::string Body(IsSmall ? 1'000 : BodyBytes, 'x');
       if (!sendAll(Socket, "HTTP/1.1 200 OK\r\n" + Head + "X-Response-Stamp: " +
                                Id + "." + Attempt +
                                "\r\nX-Server-Load: 0,0,6\r\nContent-Length: " +
