--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Bounds of the small sites' sheets.
-constexpr double DrainTimeout = 2.5;
+/// Bounds of the site's sheet.
+constexpr double DrainTimeout = 3;
 constexpr double Touch = 4;
+constexpr double Work = 0.3;
 
 /// An entry of another writer: a name cut in the middle of a surrogate pair.
 constexpr const char *ForeignEntry =
@@ -46,7 +47,7 @@
   store Store;
   std::map<std::string, std::unique_ptr<target>> Targets;
   const auto AddTarget = [&](const char *Id) {
-    Targets[Id] = std::make_unique<target>(Id, 0.03, 2'000);
+    Targets[Id] = std::make_unique<target>(Id, Work, 2'000);
   };
   const auto Write = [&](const char *Id, const char *Zone, const char *State,
                          int Sequence) {
