--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,9 +11,12 @@
 constexpr double Touch = 4;
 constexpr double Work = 0.3;
 
-/// An entry of another writer: a name cut in the middle of a surrogate pair.
+/// An entry of another writer: it lacks most fields, and the label's last
+/// character (U+1F600) is encoded as two surrogates of three bytes each (CESU-8),
+/// which is no UTF-8.
 constexpr const char *ForeignEntry =
-    R"({"service":"inventory","label":"rack 7 \ud83d","updated_by":"asset-sync"})";
+    "{\"service\":\"inventory\",\"label\":\"rack 7 "
+    "\xed\xa0\xbd\xed\xb8\x80\",\"updated_by\":\"asset-sync\"}";
 
 struct client_request {
   double SentAt = 0;
