--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -12,8 +12,8 @@
 constexpr double Work = 0.3;
 
 /// An entry of another writer: it lacks most fields, and the label's last
-/// character (U+1F600) is encoded as two surrogates of three bytes each (CESU-8),
-/// which is no UTF-8.
+/// character (U+1F600) is encoded as two surrogates of three bytes each
+/// (CESU-8), which is no UTF-8.
 constexpr const char *ForeignEntry =
     "{\"service\":\"inventory\",\"label\":\"rack 7 "
     "\xed\xa0\xbd\xed\xb8\x80\",\"updated_by\":\"asset-sync\"}";
@@ -54,13 +54,12 @@
   };
   const auto Write = [&](const char *Id, const char *Zone, const char *State,
                          int Sequence) {
-    Store.put("servers", Id,
-              Targets[Id]->entry("desk", Zone, State, Sequence));
+    Store.put("servers", Id, Targets[Id]->entry("desk", Zone, State, Sequence));
     record("store: servers/%s acknowledged, %s", Id, State);
   };
   Store.put("config", "main",
-            makeConfiguration(1, {{"/safe/", "safe", "desk"},
-                                  {"/once/", "unsafe", "desk"}}));
+            makeConfiguration(
+                1, {{"/safe/", "safe", "desk"}, {"/once/", "unsafe", "desk"}}));
   for (const char *Id : {"old-1", "old-2", "new-1", "new-2"})
     AddTarget(Id);
   Write("old-1", "a1", "ready", 1);
@@ -83,8 +82,8 @@
   std::thread Clients([&] {
     std::vector<std::thread> Requests;
     for (int Number = 0; !Ends; ++Number) {
-      Requests.emplace_back(sendRequest, std::cref(*Deployment->Nodes[Number % 3]),
-                            Number);
+      Requests.emplace_back(sendRequest,
+                            std::cref(*Deployment->Nodes[Number % 3]), Number);
       sleepFor(0.06);
     }
     for (std::thread &Request : Requests)
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -67,8 +67,8 @@
   std::vector<std::unique_ptr<target>> Targets;
   std::vector<std::unique_ptr<path>> Paths;
   for (const char *Zone : {"a1", "b1"}) {
-    Targets.push_back(std::make_unique<target>(std::string("server-") + Zone,
-                                               0.03, 2'000));
+    Targets.push_back(
+        std::make_unique<target>(std::string("server-") + Zone, 0.03, 2'000));
     Paths.push_back(std::make_unique<path>(*Targets.back()));
     Store.put("servers", Targets.back()->Id,
               Targets.back()->entry("desk", Zone, "ready", 1));
@@ -77,17 +77,17 @@
   for (int Index = 0; Index < OtherServers; ++Index) {
     Others.push_back(std::make_unique<target>("other-" + std::to_string(Index),
                                               0.03, 2'000));
-    Store.put("servers", Others.back()->Id,
-              Others.back()->entry("pack", Index % 2 == 0 ? "a1" : "c1",
-                                   "ready", 1));
+    Store.put(
+        "servers", Others.back()->Id,
+        Others.back()->entry("pack", Index % 2 == 0 ? "a1" : "c1", "ready", 1));
   }
-  Store.put("config", "main",
-            makeConfiguration(1,
-                              {{"/safe/", "safe", "desk"},
-                               {"/once/", "unsafe", "desk"},
-                               {"/pack/", "safe", "pack"}},
-                              {{"tenant-a", "key-of-a"},
-                               {"tenant-b", "key-of-b"}}));
+  Store.put(
+      "config", "main",
+      makeConfiguration(1,
+                        {{"/safe/", "safe", "desk"},
+                         {"/once/", "unsafe", "desk"},
+                         {"/pack/", "safe", "pack"}},
+                        {{"tenant-a", "key-of-a"}, {"tenant-b", "key-of-b"}}));
   // On loopback all machines have the same paths. The machine that is to be cut
   // off reads the servers' addresses from the store as those of its paths.
   const std::string StoreOfCut = Store.addView(
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -15,7 +15,7 @@
 constexpr double ReadPeriod = 0.004;
 constexpr int Clients = 4;
 /// Time from the SIGTERM to the requests.
-constexpr double SentAfterTerm = 2;
+constexpr double SentAfterTerm = 2.6;
 
 /// A client's socket with the segment size of an Ethernet path and a small
 /// window, as on the users' links.
@@ -130,10 +130,11 @@
   sleepFor(SentAfterTerm);
   std::vector<download> Downloads(Clients);
   std::vector<std::thread> Threads;
+  Threads.reserve(Clients);
   for (int Index = 0; Index < Clients; ++Index)
     Threads.emplace_back([&, Index] {
-      Downloads[Index] =
-          fetch(Sockets[Index], "slow-" + std::to_string(Index), BytesPerSecond);
+      Downloads[Index] = fetch(Sockets[Index], "slow-" + std::to_string(Index),
+                               BytesPerSecond);
     });
   for (std::thread &Thread : Threads)
     Thread.join();
