--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,7 @@
   ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread -o "build/case-$NUMBER" "$CASE" &
   PIDS="${PIDS:-} $!"
 done
+${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread \
+  -o build/freed-connection extra/freed_connection.cpp &
+PIDS="${PIDS:-} $!"
 for PID in ${PIDS:-}; do wait "$PID"; done
