Forwarding: a caller's field is never the forwarding node's

What callers saw: a request with the key of one client account and the header field `Forwarded-Account` ran as another account's, with its homes and priority, whenever its node forwarded it to another one. With `Forwarded-Version: 99` each node refused it.

Cause: the forwarding node wrote its own fields behind the caller's, which it passed on under any name, and the node that serves the request took the first field of a name. Fields of these names were dropped only from requests of other nodes. Not the cause: the key, which is confirmed where the request is read, and homes and limits, which follow from the account.

Change: the statement starts the head, with the remaining time as its first field, and is read from that place alone; a caller's fields of the same names are passed on like any other. The remaining time marks the place because nodes of all builds drop a caller's. A head of an earlier build has it behind the caller's fields, and what follows it is the statement. The account is written even if it is empty, so that an earlier build, which takes the first field of a name, never takes a caller's. Open until it is replaced: a request from one node of an earlier build to another.

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -3,7 +3,6 @@
 #include "Quarantine/quarantine.h"
 #include "Text/text.h"
 #include "caller_server.h"
-#include "forwarding_fields.h"
 
 namespace amaranthhoist {
 
@@ -207,20 +206,6 @@
   return true;
 }
 
-static bool isForwardingField(std::string_view Name) {
-  return equalsIgnoringCase(Name, AttemptsLeftField) ||
-         equalsIgnoringCase(Name, ForwardedAccountField) ||
-         equalsIgnoringCase(Name, ForwardedVersionField);
-}
-
-static forwarded_request parseForwarded(const message_head &Head) {
-  const auto AttemptsLeft = Head.find(AttemptsLeftField);
-  const auto Version = Head.find(ForwardedVersionField);
-  return {std::string(Head.find(ForwardedAccountField).value_or("")),
-          AttemptsLeft ? parseNumber<int>(*AttemptsLeft).value_or(1) : 1,
-          Version ? parseNumber<std::int64_t>(*Version).value_or(0) : 0};
-}
-
 caller_request caller_connection::makeRequest() {
   const message_head &Head = Reader.head();
   const wire_names &Wire = Node.Wire;
@@ -237,11 +222,14 @@
   Request.HasBody = Head.find("content-length").has_value() ||
                     Head.find("transfer-encoding").has_value();
   const bool IsFromPeer = Server.kind() == caller_kind::Peer;
+  const forwarding_fields Forwarding =
+      IsFromPeer ? decodeForwardingFields(Head, Wire.TimeLeft)
+                 : forwarding_fields();
   if (IsFromPeer)
-    Request.Forwarded = parseForwarded(Head);
+    Request.Forwarded = Forwarding.Request;
   for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
     const auto Field = Head.fieldAt(Index);
-    if (IsFromPeer && isForwardingField(Field.Name))
+    if (Forwarding.contains(Index))
       continue;
     // Fields that this node sets itself must not come from a caller, and the
     // caller's secret is for this node alone.
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -2,6 +2,7 @@
 /// the response, and applies Steering's decision when an attempt fails.
 #pragma once
 
+#include "ForwardedRequest/forwarded_request.h"
 #include "HttpConnection/client_connection.h"
 #include "node.h"
 #include "quota_link.h"
@@ -16,16 +17,6 @@
 
 namespace amaranthhoist {
 
-/// What an instance that forwards a request states about it.
-struct forwarded_request {
-  /// The account whose key it confirmed; empty if the route needs none.
-  std::string Account;
-  /// Servers that the request may still be sent to.
-  int AttemptsLeft = 1;
-  /// The version of the configuration by which it decided; 0 if not stated.
-  std::int64_t Version = 0;
-};
-
 /// A request as read from the caller.
 struct caller_request {
   std::string Id;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -1,6 +1,5 @@
 /// The part of an exchange that responds to the caller.
 #include "exchange.h"
-#include "forwarding_fields.h"
 
 #include "Text/text.h"
 
--- a/Services/Node/exchange_forward.cpp
+++ b/Services/Node/exchange_forward.cpp
@@ -1,6 +1,5 @@
 /// The part of an exchange that forwards a request to another instance.
 #include "exchange.h"
-#include "forwarding_fields.h"
 
 #include "Text/text.h"
 
@@ -92,13 +91,11 @@
   std::string Text;
   Text.reserve(256 + Request.Fields.size() + Request.Body.size());
   append(Text, Request.Method, " ", Request.Target, " HTTP/1.1\r\n",
+         encodeForwardingFields(
+             {Plan.Account, attemptsForPeer(), configurationVersion(Node)},
+             Node.Wire.TimeLeft,
+             std::max<std::int64_t>(1, Left.count() / 1'000)),
          Request.Fields);
-  appendField(Text, Node.Wire.TimeLeft,
-              cat(std::max<std::int64_t>(1, Left.count() / 1'000)));
-  appendField(Text, AttemptsLeftField, cat(attemptsForPeer()));
-  appendField(Text, ForwardedVersionField, cat(configurationVersion(Node)));
-  if (!Plan.Account.empty())
-    appendField(Text, ForwardedAccountField, Plan.Account);
   if (Request.HasBody)
     appendField(Text, "Content-Length", cat(Request.Body.size()));
   append(Text, "\r\n", Request.Body);
--- a/Tests/NodeProcesses/cut_fleet.h
+++ b/Tests/NodeProcesses/cut_fleet.h
@@ -62,7 +62,8 @@
     RouteRegions = Options.RouteRegions;
     HasOtherService = Options.HasOtherService;
     if (Options.HasAccounts)
-      Accounts = {{"one", {{"api_keys", {"key-of-one"}}}}};
+      Accounts = {{"one", {{"api_keys", {"key-of-one"}}}},
+                  {"two", {{"api_keys", {"key-of-two"}}}}};
     putConfiguration(1);
     for (int Index = 0; Index < Options.MoreServers; ++Index)
       Domains.emplace(cat("m", Index), Index % 2 == 0 ? "a1" : "b1");
@@ -122,6 +123,13 @@
     return Requests;
   }
 
+  int runsOfAccount(const std::string &Account) {
+    int Runs = 0;
+    for (const auto &[Id, Target] : Targets)
+      Runs += Target->RunsByAccount[Account];
+    return Runs;
+  }
+
   bool waitForRun(const std::string &Id) {
     return runUntil([&] { return runsOf(*this, Id) == 1; });
   }
--- a/Tests/NodeProcesses/forwarding_test.cpp
+++ b/Tests/NodeProcesses/forwarding_test.cpp
@@ -164,6 +164,62 @@
   LONGS_EQUAL(401, Fleet.fetch(*Fleet.Nodes[0], "/safe/x", "id-1").Status);
 }
 
+// Failure: a caller of a cut-off node writes a header field that nodes exchange
+// between them, and its request runs as another account's.
+TEST(Forwarding, CallersCanNotNameAnAccountToAnotherNode) {
+  cut_fleet Fleet({.HasAccounts = true});
+  CHECK(Fleet.IsReady);
+  const std::string Key = "Api-Key: key-of-two\r\n";
+  for (const std::string &Named :
+       {std::string("Forwarded-Account: one\r\n"),
+        std::string("FORWARDED-ACCOUNT: one\r\nforwarded-account: one\r\n"),
+        std::string("Forwarded-Attempts-Left: 9\r\nForwarded-Version: 0\r\n"
+                    "Forwarded-Account: one\r\n"),
+        std::string("Connection: X-Deadline-Remaining\r\n"
+                    "X-Deadline-Remaining: 2900\r\n"
+                    "Forwarded-Account: one\r\n")})
+    for (const std::string &Fields : {cat(Key, Named), cat(Named, Key)}) {
+      Fleet.Fields = Fields;
+      LONGS_EQUAL(1, Fleet.askMany("/safe/x", 1, "GET"));
+      LONGS_EQUAL(1, Fleet.askMany("/once/x", 1, "POST"));
+    }
+  LONGS_EQUAL(16, Fleet.runsOfAccount("two"));
+  LONGS_EQUAL(0, Fleet.runsOfAccount("one"));
+}
+
+// Failure: the same on a route that needs no account.
+TEST(Forwarding, PublicRequestsRunForNoAccount) {
+  cut_fleet Fleet({.HasAccounts = true});
+  CHECK(Fleet.IsReady);
+  Fleet.Fields = "Forwarded-Account: one\r\n";
+  LONGS_EQUAL(5, Fleet.askMany("/open/x", 5, "GET"));
+  LONGS_EQUAL(5, Fleet.runsOfAccount(""));
+}
+
+// Failure: a caller's own field is lost, because nodes use the same name.
+TEST(Forwarding, CallersFieldsReachTheServerUnchanged) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.Fields = "Forwarded-Account: mine\r\n";
+  LONGS_EQUAL(5, Fleet.askMany("/safe/x", 5, "GET"));
+  int Values = 0;
+  for (const auto &[Id, Target] : Fleet.Targets)
+    for (const std::string &Value : Target->CallersAccountFields) {
+      STRCMP_EQUAL("mine", Value.c_str());
+      ++Values;
+    }
+  LONGS_EQUAL(5, Values);
+}
+
+// Failure: a caller states a version of the configuration that no node has, and
+// is refused by each.
+TEST(Forwarding, CallersCanNotStateAVersion) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.Fields = "Forwarded-Version: 99\r\n";
+  LONGS_EQUAL(5, Fleet.askMany("/safe/x", 5, "GET"));
+}
+
 // Failure: all nodes of a failure domain are cut off, and each forwards to the
 // others of its domain.
 TEST(Forwarding, NodesOfACutOffDomainAreServedByOtherDomains) {
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -24,6 +24,9 @@
   }
   ++Arrivals;
   KeysReceived += static_cast<int>(Head.count("Api-Key"));
+  for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index)
+    if (equalsIgnoringCase(Head.fieldAt(Index).Name, "Forwarded-Account"))
+      CallersAccountFields.emplace_back(Head.fieldAt(Index).Value);
   if (Behavior == behavior::Sheds) {
     std::string Fields =
         cat("X-Attempt-Id: ", RequestId, "\r\nX-Not-Executed: 1\r\n");
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -61,6 +61,9 @@
   std::vector<std::string> Abandoned;
   /// Executions by the account that the node named; "" if it named none.
   std::map<std::string, int> RunsByAccount;
+  /// Values of the fields `Forwarded-Account` in all requests: any such field
+  /// is a caller's own.
+  std::vector<std::string> CallersAccountFields;
   /// Requests that carried an API key: a secret that was passed on.
   int KeysReceived = 0;
   /// Remaining deadline of the latest request, in milliseconds; -1: none.
