Forwarding: a server's field is never the serving node's

What callers saw: if a backend server's response had a field `Forwarded-Attempts`, a caller behind a node that reaches no server was told that its request had not run, though it had, or the request ran again.

Cause: a node marks its own responses to forwarded requests by that field, and passed servers' responses on with theirs.

Change: the node that serves a forwarded request drops such fields from a server's response, and the one that forwarded it takes none from a signed response, which covers peers of an earlier build. Responses to requests that weren't forwarded are unchanged.

--- a/Libraries/ForwardedRequest/forwarded_request.cpp
+++ b/Libraries/ForwardedRequest/forwarded_request.cpp
@@ -49,4 +49,9 @@
   return Fields;
 }
 
+bool isOwnResponseField(std::string_view Name) {
+  return equalsIgnoringCase(Name, AttemptsField) ||
+         equalsIgnoringCase(Name, AskOthersField);
+}
+
 } // namespace amaranthhoist
--- a/Libraries/ForwardedRequest/forwarded_request.h
+++ b/Libraries/ForwardedRequest/forwarded_request.h
@@ -56,4 +56,8 @@
 forwarding_fields decodeForwardingFields(const message_head &Head,
                                          std::string_view TimeLeftName);
 
+/// Whether \p Name is a field by which an instance describes its own responses.
+/// A server's response must not reach another instance with it.
+bool isOwnResponseField(std::string_view Name);
+
 } // namespace amaranthhoist
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -274,7 +274,8 @@
     const auto Field = Head.fieldAt(Index);
     const bool IsLength = equalsIgnoringCase(Field.Name, "content-length");
     if (isHopByHop(Field.Name) || isListedInConnection(Head, Field.Name) ||
-        (IsLength && Request.Method != "HEAD"))
+        (IsLength && Request.Method != "HEAD") ||
+        (Request.Forwarded && isOwnResponseField(Field.Name)))
       continue;
     appendField(ResponseFields, Field.Name, Field.Value);
   }
--- a/Services/Node/exchange_forward.cpp
+++ b/Services/Node/exchange_forward.cpp
@@ -138,14 +138,16 @@
     return false;
   Node.Loop.cancel(ConnectTimer);
   HasResponseHead = true;
-  if (const auto Field = Head.find(AttemptsField))
+  const bool IsSigned = Head.find(Node.Wire.Signature).has_value();
+  // An earlier build passes a server's field of this name on.
+  if (const auto Field = Head.find(AttemptsField); Field && !IsSigned)
     PeerAttempts = parseNumber<int>(*Field);
   const auto AskOthers = Head.find(AskOthersField);
   PeerRefusedAlone = AskOthers.has_value();
   PeerIsBusy = AskOthers == BusyValue;
   ServerDidNotRun = PeerAttempts.has_value();
   const bool ClaimsSuccess = Head.status() / 100 == 2;
-  if (ClaimsSuccess && (!Id || !Head.find(Node.Wire.Signature).has_value())) {
+  if (ClaimsSuccess && (!Id || !IsSigned)) {
     onPeerFailure({.HadResponseBytes = true, .IsMalformed = true});
     return true;
   }
--- a/Tests/NodeProcesses/forwarding_test.cpp
+++ b/Tests/NodeProcesses/forwarding_test.cpp
@@ -220,6 +220,18 @@
   LONGS_EQUAL(5, Fleet.askMany("/safe/x", 5, "GET"));
 }
 
+// Failure: a server's response has a field that nodes exchange between them,
+// and the caller is told that its request has not run.
+TEST(Forwarding, ServersFieldsDoNotMakeARefusal) {
+  cut_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->Fields = "Forwarded-Attempts: 0\r\nForwarded-Ask-Others: 1\r\n";
+  LONGS_EQUAL(5, Fleet.askMany("/once/x", 5, "POST"));
+  for (int Id = 1; Id <= Fleet.Asked; ++Id)
+    LONGS_EQUAL(1, runsOf(Fleet, cat("id-", Id)));
+}
+
 // Failure: all nodes of a failure domain are cut off, and each forwards to the
 // others of its domain.
 TEST(Forwarding, NodesOfACutOffDomainAreServedByOtherDomains) {
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -76,7 +76,7 @@
   const std::string Id = cat("X-Attempt-Id: ", RequestId, "\r\n");
   const std::string Fields = cat(
       Id, "X-Response-Stamp: stamp-", RequestId, "\r\nX-Server-Load: ", Load,
-      "\r\n", AnnouncesDraining ? "Server-Leaving: 1\r\n" : "");
+      "\r\n", AnnouncesDraining ? "Server-Leaving: 1\r\n" : "", this->Fields);
   switch (Behavior) {
   case behavior::Normal:
   case behavior::Sheds:
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -42,6 +42,9 @@
   /// Value of Retry-After, in seconds, in responses that shed a request; empty:
   /// no such field.
   std::string RetryAfterSeconds;
+  /// Further header fields of executed requests' responses, each with its line
+  /// end.
+  std::string Fields;
   /// Announces in all responses that the server is draining.
   bool AnnouncesDraining = false;
   /// Requests received, executed or not.
