Node: a response is sent when the kernel has its last byte

What callers saw: callers that read a large response slowly got a part of it and the end of the connection when their node was stopped, 2 s before the end of its grace period; and a second after a response with `Connection: close`, without any stop.

Cause: a connection counted as idle as soon as its requests were done, and a request is done when its response is in the connection's write buffer, of which up to 256 KB are not yet in the kernel. Whoever closes an idle connection (shutdown, `Connection: close`, idle timeout) dropped them without a log line. Not the cause: the deadline of the request (1.2 s were left), the grace period, the kernel's own buffer, which outlives the process.

All four tests of `node-process-tests -g SlowReader` failed on the former node: ResponsesAreSentBeforeTheNodeEnds, LastResponseOfAConnectionIsSent, ResponsesThatAreLostAreLogged, StalledCallersAreDisconnected.

Change: unsent bytes make a connection busy, and a connection that is to be closed waits for them. It is reset when the caller has taken none of them for the idle timeout. Responses that are lost so, or with the process, are logged with their requests. Input that arrives while a connection closes is read, since closing with unread input makes the kernel drop what it holds.

Why it works: every path that closes a connection goes through closeGracefully() or asks isBusy(), and both now look at the write buffer.

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -71,7 +71,39 @@
     return;
   IsClosing = true;
   Stream.shutdownWhenFlushed();
-  setTimer(CloseTimeout, &caller_connection::closeNow);
+  if (Stream.pendingBytes() > 0)
+    waitForFlush();
+  else
+    setTimer(CloseTimeout, &caller_connection::closeNow);
+  // Closing with unread input would reset the connection, and discard what the
+  // kernel still holds of the responses.
+  Stream.resume();
+}
+
+void caller_connection::waitForFlush() {
+  PendingAtWaitStart = Stream.pendingBytes();
+  setTimer(limits().IdleTimeout, &caller_connection::onFlushTimeout);
+}
+
+void caller_connection::onFlushTimeout() {
+  if (Stream.pendingBytes() < PendingAtWaitStart) {
+    waitForFlush();
+    return;
+  }
+  logUnsent("caller_stalled");
+  Stream.closeWithReset();
+  Server.retire(*this);
+}
+
+void caller_connection::logUnsent(std::string_view Why) {
+  removeSent(Unsent, Stream.pendingBytes());
+  for (const auto &Response : Unsent.Responses)
+    Node.Log.write(
+        log_kind::RequestFailure, "answer_cut",
+        {{"request", Response.RequestId},
+         {"why", Why},
+         {"unsent_bytes", static_cast<std::int64_t>(Stream.pendingBytes())}},
+        Node.Loop.now());
 }
 
 void caller_connection::closeNow() {
@@ -101,8 +133,18 @@
 }
 
 void caller_connection::onFlushed() {
+  Unsent.Responses.clear();
   if (!Slots.empty())
     Slots.front()->onCallerDrained();
+  else if (IsClosing)
+    setTimer(CloseTimeout, &caller_connection::closeNow);
+  else if (!Reader.hasStarted())
+    setTimer(limits().IdleTimeout, &caller_connection::onIdleTimeout);
+}
+
+void caller_connection::sendNow(std::string_view Bytes) {
+  Unsent.WrittenBytes += Bytes.size();
+  Stream.write(Bytes);
 }
 
 /// Returns whether the next request may be parsed while others are served.
@@ -197,7 +239,7 @@
       Expect && equalsIgnoringCase(*Expect, "100-continue")) {
     IsContinuePending = !Slots.empty();
     if (!IsContinuePending)
-      Stream.write(ContinueHead);
+      sendNow(ContinueHead);
   }
   // The body may take as long as the caller waits for the response.
   setTimer(std::max(limits().HeadTimeout, timeLeft(Head, Node.Wire.TimeLeft)
@@ -310,6 +352,7 @@
   while (!Slots.empty() && Slots.front()->isDone()) {
     const bool IsAborted = Slots.front()->isAborted();
     const bool ClosesConnection = Slots.front()->closesConnection();
+    recordWritten(Unsent, Slots.front()->requestId(), Stream.pendingBytes());
     retireFirst();
     if (IsAborted) {
       Stream.closeWithReset();
@@ -336,7 +379,7 @@
     return;
   }
   if (IsContinuePending)
-    Stream.write(ContinueHead);
+    sendNow(ContinueHead);
   IsContinuePending = false;
   if (DeferredRequest) {
     caller_request Request = std::move(*DeferredRequest);
@@ -344,11 +387,16 @@
     serve(std::move(Request));
     return;
   }
-  if (!Reader.hasStarted())
+  if (Reader.hasStarted())
+    return;
+  if (Stream.pendingBytes() > 0)
+    waitForFlush();
+  else
     setTimer(limits().IdleTimeout, &caller_connection::onIdleTimeout);
 }
 
-void caller_connection::logAborted() const {
+void caller_connection::logAborted() {
+  logUnsent("process_ended");
   for (const auto &Slot : Slots)
     Slot->logAborted();
 }
@@ -377,7 +425,7 @@
                  {{"status", static_cast<std::int64_t>(Status)}},
                  Node.Loop.now());
   releaseBody();
-  Stream.write(Text);
+  sendNow(Text);
   closeGracefully();
 }
 
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -9,6 +9,7 @@
 #include "node.h"
 #include "response_slot.h"
 #include "target_pool.h"
+#include "unsent_responses.h"
 
 #include <deque>
 #include <memory>
@@ -28,14 +29,16 @@
   ~caller_connection() override;
 
   [[nodiscard]] bool open(int Descriptor);
-  /// Returns whether a request is being read or served.
+  /// Returns whether a request is being read or served, or the kernel has not
+  /// accepted all bytes of the responses.
   [[nodiscard]] bool isBusy() const {
-    return !Slots.empty() || Reader.hasStarted();
+    return !Slots.empty() || Reader.hasStarted() || Stream.pendingBytes() > 0;
   }
   /// Closes the connection if it is idle.
   void closeIfIdle();
-  /// Logs the requests that are aborted because the process exits.
-  void logAborted() const;
+  /// Logs the requests that are aborted, and the responses that are cut off,
+  /// because the process exits.
+  void logAborted();
 
 private:
   void onBytes(std::string_view Bytes) override;
@@ -43,7 +46,7 @@
   void onDisconnect(disconnect_reason End) override;
 
   bool isFirst(const response_slot &Slot) const override;
-  void sendNow(std::string_view Bytes) override { Stream.write(Bytes); }
+  void sendNow(std::string_view Bytes) override;
   std::size_t unsentBytes() const override { return Stream.pendingBytes(); }
   bool keepsAliveAfter(const response_slot &Slot) override;
   void onFirstDone() override;
@@ -67,6 +70,11 @@
   void closeNow();
   void setTimer(duration Delay, void (caller_connection::*Function)());
   void onIdleTimeout();
+  /// Waits until the kernel has accepted all written bytes, as long as the
+  /// caller takes any.
+  void waitForFlush();
+  void onFlushTimeout();
+  void logUnsent(std::string_view Why);
   void onReadTimeout();
   void releaseBody();
   const request_limits &limits() const;
@@ -84,6 +92,9 @@
   /// Status of a rejection that waits for the earlier responses.
   std::optional<int> DeferredRejection;
   std::string Backlog;
+  unsent_responses Unsent;
+  /// Bytes in the write buffer when the wait for the caller began.
+  std::size_t PendingAtWaitStart = 0;
   timer_id Timer = 0;
   instant LastBytesAt{};
   instant RequestStartedAt{};
--- a/Services/Node/response_slot.cpp
+++ b/Services/Node/response_slot.cpp
@@ -5,7 +5,7 @@
 response_slot::response_slot(node &Node, target_pool &Pool, slot_owner &Owner,
                              caller_request Request, bool RequestsKeepAlive,
                              std::size_t BodyBytes)
-    : Node(Node), Owner(Owner), BodyBytes(BodyBytes),
+    : Node(Node), Owner(Owner), RequestId(Request.Id), BodyBytes(BodyBytes),
       RequestsKeepAlive(RequestsKeepAlive) {
   exchange_caller &Caller = *this;
   Exchange = std::make_unique<exchange>(Node, Pool, Caller, std::move(Request));
--- a/Services/Node/response_slot.h
+++ b/Services/Node/response_slot.h
@@ -57,6 +57,7 @@
   /// continues without the caller.
   std::unique_ptr<exchange> onCallerDisconnected();
   void logAborted() const;
+  [[nodiscard]] const std::string &requestId() const { return RequestId; }
 
 private:
   void send(std::string_view Bytes) override;
@@ -71,6 +72,7 @@
   std::unique_ptr<exchange> Exchange;
   /// Response bytes buffered until the slot is the first.
   std::string PendingBytes;
+  const std::string RequestId;
   std::size_t BodyBytes;
   bool RequestsKeepAlive;
   bool ClosesConnection = false;
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -192,8 +192,9 @@
       "  file_descriptors: 4100\n"
       "bounds:\n  repeat_ratio: ",
       RetryRatio,
-      "\n  repeat_window: 10s\n"
-      "  repeat_slack: 60\n  grace_period: 6s\n  lookup_ttl: 5s\n"
+      "\n  repeat_window: 10s\n  repeat_slack: 60\n  grace_period: ",
+      GracePeriod,
+      "\n  lookup_ttl: 5s\n"
       "  quota_window: 5s\n  quota_overshoot: 0.1\n  quota_slack: ",
       QuotaSlack, "\n", Bounds);
   return File;
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -94,6 +94,8 @@
   std::vector<std::string> RouteRegions;
   /// Requests beyond its limit that an account may make in the window.
   double QuotaSlack = 20;
+  /// Time from SIGTERM to the end of a process.
+  std::string GracePeriod = "6s";
   /// Further lines of the settings' bounds.
   std::string Bounds;
 
--- /dev/null
+++ b/Tests/NodeProcesses/slow_reader_test.cpp
@@ -0,0 +1,109 @@
+// Tests callers that read their responses slowly.
+
+#include "Text/text.h"
+#include "slow_reader.h"
+#include "small_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+
+using namespace amaranthhoist;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// More than the kernel holds for a slow_reader, and less than the node reads
+/// ahead for a caller: the server has sent all when the response is still in
+/// the node's write buffer.
+constexpr std::size_t BodyBytes = 220'000;
+/// A node that has got SIGTERM and has nothing left to do ends before this.
+constexpr duration ShutdownTime = milliseconds(4'500);
+
+struct reader_fleet : small_fleet {
+  reader_fleet() {
+    for (auto &[Id, Target] : Targets)
+      Target->PaddingBytes = BodyBytes;
+  }
+
+  /// Whether the node has all of the response to \p Id.
+  bool waitForResponse(const std::string &Id) {
+    return runUntil([&] { return runsOf(*this, Id) == 1; }) && waitAnswered(Id);
+  }
+
+  bool waitAnswered(const std::string &Id) {
+    return runUntil([&] {
+      const std::string Log = logOf(*Node);
+      const std::size_t At = Log.find("\"event\":\"answered\"");
+      return At != std::string::npos && Log.find(Id, At) != std::string::npos;
+    });
+  }
+};
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(SlowReader) {};
+// clang-format on
+
+// Failure: a node that was told to stop ends while a response is in its own
+// write buffer, and the caller gets a part of it.
+TEST(SlowReader, ResponsesAreSentBeforeTheNodeEnds) {
+  reader_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.GracePeriod = "60s";
+  node_process &Node = Fleet.addNode("n2", "a1", "a");
+  Fleet.start(Node);
+  CHECK(Fleet.waitReady(Node));
+  Fleet.Node = &Node;
+  slow_reader Reader(Node.Callers, "/safe/x", "id-1");
+  CHECK(Fleet.waitForResponse("id-1"));
+  Fleet.signal(Node, SIGTERM);
+  Fleet.runFor(ShutdownTime);
+  CHECK(Fleet.runUntil([&] { return Reader.readToEnd(); }));
+  CHECK(Reader.isComplete());
+  CHECK(Fleet.runUntil([&] { return Fleet.hasExited(Node); }));
+  CHECK(Fleet.logOf(Node).find("answer_cut") == std::string::npos);
+}
+
+// Failure: a response that ends its connection is cut off a second later.
+TEST(SlowReader, LastResponseOfAConnectionIsSent) {
+  reader_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  slow_reader Reader(Fleet.Node->Callers, "/safe/x", "id-1",
+                     "Connection: close\r\n");
+  CHECK(Fleet.waitForResponse("id-1"));
+  Fleet.runFor(seconds(3));
+  CHECK(Fleet.runUntil([&] { return Reader.readToEnd(); }));
+  CHECK(Reader.isComplete());
+}
+
+// Failure: a response that is lost with the process leaves no trace.
+TEST(SlowReader, ResponsesThatAreLostAreLogged) {
+  reader_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  slow_reader Reader(Fleet.Node->Callers, "/safe/x", "id-1");
+  CHECK(Fleet.waitForResponse("id-1"));
+  Fleet.signal(*Fleet.Node, SIGTERM);
+  CHECK(Fleet.runUntil([&] { return Fleet.hasExited(*Fleet.Node); }));
+  const std::string Log = Fleet.logOf(*Fleet.Node);
+  const std::size_t At = Log.find("answer_cut");
+  CHECK(At != std::string::npos);
+  CHECK(Log.find("id-1", At) != std::string::npos);
+  CHECK(Log.find("process_ended", At) != std::string::npos);
+}
+
+// Failure: a caller that reads nothing keeps its connection and its response in
+// the node's memory for good.
+TEST(SlowReader, StalledCallersAreDisconnected) {
+  reader_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  slow_reader Reader(Fleet.Node->Callers, "/safe/x", "id-1");
+  CHECK(Fleet.waitForResponse("id-1"));
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.logOf(*Fleet.Node).find("caller_stalled") != std::string::npos;
+  }));
+  CHECK(Fleet.runUntil([&] { return Reader.readToEnd(); }));
+  CHECK(!Reader.isComplete());
+}
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -72,7 +72,7 @@
   stand_in_connection *Connection = connection(Number);
   if (!Connection)
     return;
-  const std::string Body = bodyFor(RequestId);
+  const std::string Body = bodyFor(RequestId) + std::string(PaddingBytes, 'x');
   const std::string Id = cat("X-Attempt-Id: ", RequestId, "\r\n");
   const std::string Fields = cat(
       Id, "X-Response-Stamp: stamp-", RequestId, "\r\nX-Server-Load: ", Load,
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -36,6 +36,8 @@
   behavior Behavior = behavior::Normal;
   /// Execution time of a request.
   duration Work = std::chrono::milliseconds(20);
+  /// Bytes that are added to the body of a response.
+  std::size_t PaddingBytes = 0;
   /// Load reported in responses: running, waiting, slots.
   std::string Load = "1,0,4";
   const std::string Id;
