Platform: each object of the store is decoded by itself

What callers saw: after another writer had put one entry of 73 bytes among the servers, requests went to servers that had left, and then none was served, while two sound servers were listed. Nodes that started meanwhile never got ready; an entry of 200,000 arrays in each other ended each node.

Cause: a list or batch was one document for the JSON library, so that one string, escape or number that it refuses lost all objects, for good, since the node asked for the same again. The bytes that were replaced before a second try left out surrogates of three bytes, overlong forms and what lies beyond U+10FFFF, and no replacement covers half a pair or 1e400. Deep entries were written anew by a recursive function.

All three tests of `node-process-tests -g ForeignEntries` failed on the former node, and `unit-tests -g PlatformCodec` UndecodableObjectsHideNoOthers on the former codec.

Change: json_text finds the objects by brackets and strings, without recursion, and the library decodes each. Of one that it refuses, or that is over 64 levels deep, name and revision remain: it names no server, and its text goes to no other node, so that earlier builds don't read it. Texts of other objects are kept as they came.

Why it works: what one writer sent is never parsed together with what another one sent, whatever it is; only the store's own brackets and strings have to be sound.

--- a/Libraries/StoreClient/list_watch.h
+++ b/Libraries/StoreClient/list_watch.h
@@ -17,7 +17,10 @@
   std::string Name;
   /// Revision of its last change.
   std::uint64_t Revision = 0;
+  /// Empty if the object can't be decoded.
   std::string Text;
+  /// Empty if it can.
+  std::string WhyUndecodable;
 };
 
 /// One page of a list response.
--- a/Services/Node/kind_follower.cpp
+++ b/Services/Node/kind_follower.cpp
@@ -116,6 +116,8 @@
   auto Page = platform::decodePage(Body);
   if (!Page)
     return false;
+  for (const stored_object &Object : Page->Items)
+    logIfUndecodable(Object);
   NextDelay = DelayAfterList;
   auto *All = applyPage(Watch, std::move(*Page));
   if (!All)
@@ -152,12 +154,28 @@
   auto Batch = platform::decodeBatch(Body);
   if (!Batch)
     return false;
+  for (const stored_change &Change : Batch->Changes)
+    logIfUndecodable(Change.Object);
   NextDelay = applyBatch(Watch, *Batch);
   Batch->AtRevision = Watch.Revision;
   State.update(changesIn(Kind, std::move(*Batch), Watch.Era));
   return true;
 }
 
+void kind_follower::logIfUndecodable(const stored_object &Object) {
+  if (Object.WhyUndecodable.empty())
+    return;
+  Node.Metrics.incrementCounter(
+      cat("amaranthhoist_store_objects_undecodable_total{kind=\"",
+          platform::encodeKind(Kind), "\"}"));
+  Node.Log.write(log_kind::ClusterState, "object_undecodable",
+                 {{"kind", platform::encodeKind(Kind)},
+                  {"name", Object.Name},
+                  {"revision", static_cast<std::int64_t>(Object.Revision)},
+                  {"why", Object.WhyUndecodable}},
+                 Node.Loop.now());
+}
+
 void kind_follower::onStoreResponse() {
   if (IsStoreLost)
     Node.Log.write(log_kind::ClusterState, "store_regained",
--- a/Services/Node/kind_follower.h
+++ b/Services/Node/kind_follower.h
@@ -42,6 +42,7 @@
   void handleResponse(const store_response &Response, bool IsWatch);
   bool handlePage(std::string_view Body);
   bool handleBatch(std::string_view Body);
+  void logIfUndecodable(const stored_object &Object);
   void retry(store_failure Failure);
   void onStoreResponse();
 
--- a/Tests/NodeProcesses/store_stand_in.cpp
+++ b/Tests/NodeProcesses/store_stand_in.cpp
@@ -38,6 +38,13 @@
   wakeWatches();
 }
 
+void store_stand_in::putBytes(const std::string &Kind, const std::string &Name,
+                              const std::string &Text) {
+  const std::string Placeholder = cat("bytes-", RawTexts.size());
+  RawTexts[json(Placeholder).dump()] = Text;
+  put(Kind, Name, Placeholder);
+}
+
 void store_stand_in::copyFrom(const store_stand_in &Other,
                               const std::string &Kind,
                               const std::string &Name) {
@@ -85,7 +92,12 @@
 }
 
 void store_stand_in::respond(stand_in_connection &Connection, int Status,
-                             std::string_view Body) {
+                             std::string Body) {
+  for (const auto &[Placeholder, Text] : RawTexts)
+    for (std::size_t At = 0;
+         (At = Body.find(Placeholder, At)) != std::string::npos;
+         At += Text.size())
+      Body.replace(At, Placeholder.size(), Text);
   Connection.respond(Status, cat(JsonField, "Store-Era: ", Era, "\r\n"), Body);
 }
 
--- a/Tests/NodeProcesses/store_stand_in.h
+++ b/Tests/NodeProcesses/store_stand_in.h
@@ -19,6 +19,10 @@
   void setMode(mode NewMode);
   void put(const std::string &Kind, const std::string &Name,
            const nlohmann::json &Specification);
+  /// Writes an object of another writer, with the bytes \p Text as its
+  /// specification.
+  void putBytes(const std::string &Kind, const std::string &Name,
+                const std::string &Text);
   /// Raises the revision by \p Count without a change.
   void skipRevisions(std::uint64_t Count) { Data.Revision += Count; }
   void remove(const std::string &Kind, const std::string &Name);
@@ -50,8 +54,7 @@
                const std::string &Name);
   void onRead(stand_in_connection &Connection, const std::string &Kind,
               std::string_view Query);
-  void respond(stand_in_connection &Connection, int Status,
-               std::string_view Body);
+  void respond(stand_in_connection &Connection, int Status, std::string Body);
   /// Whether an object was written or removed since the last restore.
   bool isChangedSinceRestore(const std::string &Kind, const std::string &Name);
   /// Returns false if there is no change yet, unless the watch \p IsShort.
@@ -75,6 +78,8 @@
     std::map<std::string, std::map<std::string, nlohmann::json>> Objects;
     std::vector<event> History;
   };
+  /// Bytes that stand for a specification of that text in responses.
+  std::map<std::string, std::string> RawTexts;
   mode Mode = mode::Serving;
   std::uint64_t Era = 0;
   std::uint64_t Oldest = 0;
--- a/Tests/platform_codec_test.cpp
+++ b/Tests/platform_codec_test.cpp
@@ -228,3 +228,116 @@
   CHECK(Batch.has_value());
   CHECK(platform::decodeTarget(Batch->Changes.back().Object.Text).has_value());
 }
+
+namespace {
+
+/// A specification that can't be decoded.
+struct bad_specification {
+  const char *What;
+  std::string Text;
+};
+
+std::string nested(std::size_t Levels, char Open, const char *Close) {
+  std::string Text(Levels, Open);
+  for (std::size_t Level = 0; Level < Levels; ++Level)
+    Text.append(Close);
+  return Text;
+}
+
+std::vector<bad_specification> badSpecifications() {
+  const auto WithLabel = [](const std::string &Label) {
+    return R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":6,)"
+           R"("state":"ready","label":")" +
+           Label + "\"}";
+  };
+  std::string Objects;
+  for (int Level = 0; Level < 200'000; ++Level)
+    Objects.append("{\"a\":");
+  Objects.append("1").append(200'000, '}');
+  return {
+      {"surrogates of three bytes", WithLabel("\xed\xa0\xbd\xed\xb8\x80")},
+      {"overlong, two bytes", WithLabel("\xc0\xaf")},
+      {"overlong, three bytes", WithLabel("\xe0\x80\xaf")},
+      {"overlong, four bytes", WithLabel("\xf0\x80\x80\xaf")},
+      {"beyond U+10FFFF", WithLabel("\xf4\x90\x80\x80")},
+      {"a sequence cut short", WithLabel("\xe2\x82")},
+      {"a stray byte", WithLabel("\xff")},
+      {"an escape of half a pair", WithLabel("\\ud83d")},
+      {"an unknown escape", WithLabel("\\x41")},
+      {"a control character", WithLabel("\x01")},
+      {"a number beyond a double", R"({"slots":1e400})"},
+      {"a number without digits", R"({"slots":-})"},
+      {"a word", R"({"slots":maybe})"},
+      {"no comma", R"({"slots":1 "state":2})"},
+      {"brackets of two kinds", R"({"slots":[1}})"},
+      {"arrays in arrays", "{\"service\":" + nested(200'000, '[', "]") + "}"},
+      {"objects in objects", Objects}};
+}
+
+} // namespace
+
+// Failure: one object of another writer that can't be decoded makes the list of
+// servers, or all changes to it, unreadable for every node.
+TEST(PlatformCodec, UndecodableObjectsHideNoOthers) {
+  for (const auto &[What, Text] : badSpecifications()) {
+    const std::string Odd =
+        R"({"metadata":{"name":"odd","revision":7},"specification":)" + Text +
+        "}";
+    const auto Page =
+        platform::decodePage(R"({"items":[)" + Odd + "," + TargetText + "," +
+                             Odd + R"(],"more":true,"at_revision":30})");
+    CHECK_TEXT(Page.has_value(), What);
+    LONGS_EQUAL_TEXT(3, Page->Items.size(), What);
+    LONGS_EQUAL(30, Page->AtRevision);
+    CHECK(Page->HasMore);
+    const stored_object &Object = Page->Items[0];
+    STRCMP_EQUAL_TEXT("odd", Object.Name.c_str(), What);
+    LONGS_EQUAL(7, Object.Revision);
+    CHECK_TEXT(!Object.WhyUndecodable.empty(), What);
+    CHECK_FALSE_TEXT(platform::decodeTarget(Object.Text).has_value(), What);
+    CHECK(platform::decodeTarget(Page->Items[1].Text).has_value());
+    CHECK(Page->Items[1].WhyUndecodable.empty());
+    const auto Batch =
+        platform::decodeBatch(R"({"events":[{"deleted":false,"object":)" + Odd +
+                              R"(},{"deleted":true,"object":)" + Odd +
+                              R"(},{"deleted":false,"object":)" + TargetText +
+                              R"(}],"at_revision":31})");
+    CHECK_TEXT(Batch.has_value(), What);
+    LONGS_EQUAL_TEXT(3, Batch->Changes.size(), What);
+    CHECK(Batch->Changes[1].IsDeleted);
+    STRCMP_EQUAL("odd", Batch->Changes[1].Object.Name.c_str());
+    CHECK(platform::decodeTarget(Batch->Changes[2].Object.Text).has_value());
+    CHECK_FALSE_TEXT(platform::decodeTarget(Odd).has_value(), What);
+    CHECK_FALSE_TEXT(platform::decodeMember(Odd).has_value(), What);
+    CHECK_FALSE_TEXT(platform::decodeConfiguration(Odd).has_value(), What);
+  }
+}
+
+// Guards against a text that names another object than the store did.
+TEST(PlatformCodec, UndecodableObjectsKeepTheStoresName) {
+  const auto Page = platform::decodePage(
+      R"({"items":[{"metadata":{"name":"odd","revision":7},"specification":)"
+      "{\"label\":\"\xff\\\"},{\\\"metadata\\\":{\\\"name\\\":\\\"s1\\\"}\","
+      R"("metadata":{"name":"s2"}}}],"at_revision":30})");
+  CHECK(Page.has_value());
+  LONGS_EQUAL(1, Page->Items.size());
+  STRCMP_EQUAL("odd", Page->Items[0].Name.c_str());
+}
+
+// Guards against an object that an earlier or later field of the list ends.
+TEST(PlatformCodec, ListsMayHaveFieldsInAnyOrder) {
+  const auto Page = platform::decodePage(
+      R"( { "new" : [ { "items" : [ ] } , "}" ] , "at_revision" : 3 , )"
+      R"("items" : [ )" +
+      TargetText + R"( ] , "more" : false , "last" : null } )");
+  CHECK(Page.has_value());
+  LONGS_EQUAL(1, Page->Items.size());
+  LONGS_EQUAL(3, Page->AtRevision);
+  CHECK(!Page->HasMore);
+  CHECK(platform::decodeTarget(Page->Items[0].Text).has_value());
+  for (const char *Text :
+       {"", " ", "[]", "{", "{}", R"({"items":7})", R"({"items":[})",
+        R"({"items":[1,]})", R"({"items":[]}})", R"({"items":[]} x)",
+        R"({"items" [])", R"({items:[]})", R"({"items":[1 2]})"})
+    CHECK_FALSE_TEXT(platform::decodePage(Text).has_value(), Text);
+}
