EventLoop: dropped connections are destroyed at the end of an iteration

What callers saw: under 64 requests at a time to a server that closes each connection right after its response, the node ended with SIGSEGV within a second.

Cause: an exchange gives its connection back to the pool within the connection's own callback, and target_pool::release() destroyed it there if six were pooled; stream::readAll() then read its descriptor. closeIdle() and acquire() could do the same. Each place that drops a connection had to keep the rule that its code may still be on the stack, and these three did not.

Change: the event loop destroys what is retired at the end of an iteration, and connections are owned by a handle whose deleter closes them and retires them.

--- a/Libraries/EventLoop/event_loop.cpp
+++ b/Libraries/EventLoop/event_loop.cpp
@@ -104,6 +104,12 @@
   }
 }
 
+void event_loop::destroyRetired() {
+  // An object may own others that it retires.
+  while (!Retired.empty())
+    std::exchange(Retired, {}).clear();
+}
+
 void event_loop::run() {
   std::array<epoll_event, MaxEvents> Events{};
   while (!Stopping) {
@@ -124,6 +130,7 @@
     runTimers();
     for (const auto &Function : IterationCallbacks)
       Function();
+    destroyRetired();
   }
   // A nested run() must not stop the outer one.
   Stopping = false;
--- a/Libraries/EventLoop/event_loop.h
+++ b/Libraries/EventLoop/event_loop.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,13 @@
   virtual void onEvent(const io_event &Event) = 0;
 };
 
+/// An object that is destroyed after the current round of events, because its
+/// own code may still be on the stack.
+class retirable {
+public:
+  virtual ~retirable() = default;
+};
+
 /// Identifies a timer; 0 means no timer.
 using timer_id = std::uint64_t;
 
@@ -64,6 +72,12 @@
   /// Registers \p Function to be called at the end of each loop iteration.
   void atEndOfIteration(std::function<void()> Function);
 
+  /// Destroys \p Object at the end of the current iteration. It must not expect
+  /// further events.
+  void retire(std::unique_ptr<retirable> Object) {
+    Retired.push_back(std::move(Object));
+  }
+
   /// Processes events until stop() is called.
   void run();
   void stop() { Stopping = true; }
@@ -78,6 +92,7 @@
   int epollTimeoutMs() const;
   void runTimers();
   void refreshNow();
+  void destroyRetired();
 
   int EpollDescriptor = -1;
   bool Stopping = false;
@@ -88,6 +103,9 @@
   std::map<timer_id, instant> TimerDeadlines;
   timer_id LastTimerId = 0;
   std::vector<std::function<void()>> IterationCallbacks;
+  /// The last member, since the objects use the others while they are
+  /// destroyed.
+  std::vector<std::unique_ptr<retirable>> Retired;
 };
 
 } // namespace amaranthhoist
--- a/Libraries/HttpConnection/client_connection.cpp
+++ b/Libraries/HttpConnection/client_connection.cpp
@@ -14,6 +14,15 @@
     : Loop(Loop), Stream(Loop, *this),
       Reader(message_kind::Response, MaxResponseHeadBytes) {}
 
+void connection_deleter::operator()(client_connection *Connection) const {
+  Connection->close();
+  Connection->Loop.retire(std::unique_ptr<retirable>(Connection));
+}
+
+connection_handle makeConnection(event_loop &Loop) {
+  return connection_handle(new client_connection(Loop));
+}
+
 bool client_connection::connect(const endpoint &Endpoint,
                                 duration PeerTimeout) {
   auto Descriptor = connectTo(Endpoint, PeerTimeout);
--- a/Libraries/HttpConnection/client_connection.h
+++ b/Libraries/HttpConnection/client_connection.h
@@ -44,7 +44,8 @@
   virtual void onFailure(const call_failure &Failure) = 0;
 };
 
-class client_connection : private stream_owner {
+/// The owner may drop its handle in any callback.
+class client_connection : public retirable, private stream_owner {
 public:
   explicit client_connection(event_loop &Loop);
 
@@ -79,6 +80,8 @@
   duration KeepAliveTimeout{};
 
 private:
+  friend struct connection_deleter;
+
   void onConnected() override;
   void onBytes(std::string_view Bytes) override;
   void onDisconnect(disconnect_reason Reason) override;
@@ -98,4 +101,13 @@
   int SkippedResponses = 0;
 };
 
+/// Closes a connection and leaves its destruction to the event loop.
+struct connection_deleter {
+  void operator()(client_connection *Connection) const;
+};
+using connection_handle =
+    std::unique_ptr<client_connection, connection_deleter>;
+
+connection_handle makeConnection(event_loop &Loop);
+
 } // namespace amaranthhoist
--- a/Libraries/HttpConnection/small_server.cpp
+++ b/Libraries/HttpConnection/small_server.cpp
@@ -40,7 +40,7 @@
 }
 
 /// A client connection of a small_server.
-class small_connection : private stream_owner {
+class small_connection : public retirable, private stream_owner {
 public:
   small_connection(small_server &Server, event_loop &Loop)
       : Server(Server), Loop(Loop), Stream(Loop, *this),
@@ -119,9 +119,7 @@
 };
 
 small_server::small_server(event_loop &Loop, small_request_handler Handler)
-    : Loop(Loop), Handler(std::move(Handler)) {
-  Loop.atEndOfIteration([this] { RemovedConnections.clear(); });
-}
+    : Loop(Loop), Handler(std::move(Handler)) {}
 
 small_server::~small_server() {
   if (Listener >= 0)
@@ -154,7 +152,7 @@
   auto Found = Connections.find(&Connection);
   if (Found == Connections.end())
     return;
-  RemovedConnections.push_back(std::move(Found->second));
+  Loop.retire(std::move(Found->second));
   Connections.erase(Found);
 }
 
--- a/Libraries/HttpConnection/small_server.h
+++ b/Libraries/HttpConnection/small_server.h
@@ -50,7 +50,6 @@
   int Listener = -1;
   absl::flat_hash_map<small_connection *, std::unique_ptr<small_connection>>
       Connections;
-  std::vector<std::unique_ptr<small_connection>> RemovedConnections;
 };
 
 } // namespace amaranthhoist
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -344,7 +344,7 @@
 }
 
 void caller_connection::retireFirst() {
-  Node.Retired.push_back(std::move(Slots.front()));
+  Node.Loop.retire(std::move(Slots.front()));
   Slots.pop_front();
 }
 
--- a/Services/Node/caller_server.cpp
+++ b/Services/Node/caller_server.cpp
@@ -82,7 +82,7 @@
   auto Found = Connections.find(&Connection);
   if (Found == Connections.end())
     return;
-  Node.Retired.push_back(std::move(Found->second));
+  Node.Loop.retire(std::move(Found->second));
   Connections.erase(Found);
 }
 
@@ -92,7 +92,7 @@
     auto Found = DetachedExchanges.find(Raw);
     if (Found == DetachedExchanges.end())
       return;
-    Node.Retired.push_back(std::move(Found->second));
+    Node.Loop.retire(std::move(Found->second));
     DetachedExchanges.erase(Found);
   });
   DetachedExchanges.emplace(Raw, std::move(Exchange));
--- a/Services/Node/crash_probe.cpp
+++ b/Services/Node/crash_probe.cpp
@@ -93,7 +93,7 @@
   Node.Metrics.incrementCounter(IsAlive
                                     ? "amaranthhoist_answers_lost_total"
                                     : "amaranthhoist_servers_crashed_total");
-  Node.Retired.push_back(std::move(Attempt));
+  Node.Loop.retire(std::move(Attempt));
 }
 
 void crash_probe::recordServerCrash(const connection_attempt &Attempt) {
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -245,7 +245,7 @@
 
 void exchange::dropConnection() {
   Node.Loop.cancel(ConnectTimer);
-  retireConnection(Node, Connection);
+  abortConnection(Connection);
 }
 
 void exchange::finishAttempt(attempt_result Result) {
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -210,7 +210,7 @@
 
   // The attempt in flight.
   target *Target = nullptr;
-  std::unique_ptr<client_connection> Connection;
+  connection_handle Connection;
   instant AttemptStartedAt{};
   bool ServerDidNotRun = false;
 
--- a/Services/Node/exchange_forward.cpp
+++ b/Services/Node/exchange_forward.cpp
@@ -121,7 +121,7 @@
                   {"left_us", static_cast<std::int64_t>(
                                   (Plan.Deadline - AttemptStartedAt).count())}},
                  AttemptStartedAt);
-  Connection = std::make_unique<client_connection>(Node.Loop);
+  Connection = makeConnection(Node.Loop);
   const auto Endpoint = parseEndpoint(Member.Peer);
   if (!Endpoint || !Connection->connect(*Endpoint, PeerAckTimeout)) {
     onPeerFailure({.NotConnected = true});
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -10,7 +10,6 @@
 node::node(node_settings InitialSettings, const wire_names &Wire)
     : Settings(std::move(InitialSettings)), Wire(Wire),
       Log(STDOUT_FILENO, Settings.Instance) {
-  Loop.atEndOfIteration([this] { Retired.clear(); });
   Loop.runEvery(LogFlushPeriod, [this] { Log.flush(); });
   Steering.RetryBudget =
       makeRetryBudget({Settings.Bounds.RetryRatio, Settings.Bounds.RetryWindow,
@@ -40,17 +39,10 @@
                  Node.Loop.now());
 }
 
-void retireConnection(node &Node,
-                      std::unique_ptr<client_connection> &Connection) {
-  struct retired_connection : retirable {
-    std::unique_ptr<client_connection> Connection;
-  };
-  if (!Connection)
-    return;
-  Connection->abort();
-  auto Retired = std::make_unique<retired_connection>();
-  Retired->Connection = std::move(Connection);
-  Node.Retired.push_back(std::move(Retired));
+void abortConnection(connection_handle &Connection) {
+  if (Connection)
+    Connection->abort();
+  Connection.reset();
 }
 
 bool node::isReady() const {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -50,13 +50,6 @@
   std::optional<target_load> (*DecodeLoad)(std::string_view);
 };
 
-/// An object that is destroyed after the current round of events, because its
-/// own code may still be on the stack.
-class retirable {
-public:
-  virtual ~retirable() = default;
-};
-
 struct node;
 class quota_link;
 
@@ -66,10 +59,8 @@
 /// Logs that a content was quarantined or released, if \p Change is set.
 void logQuarantine(node &Node, const std::optional<quarantine_change> &Change);
 
-/// Aborts the connection, if any, and destroys it after the current round of
-/// events.
-void retireConnection(node &Node,
-                      std::unique_ptr<client_connection> &Connection);
+/// Aborts the connection, if any, and drops it.
+void abortConnection(connection_handle &Connection);
 
 /// How the requests of this node's callers ended since the start.
 struct request_counts {
@@ -117,7 +108,6 @@
   instant RefusesNewRequestsFrom{};
   /// Bytes of request bodies buffered for all callers together.
   std::size_t BufferedBodyBytes = 0;
-  std::vector<std::unique_ptr<retirable>> Retired;
 
   /// Returns whether the node has enough state to serve callers and is not
   /// shutting down.
--- a/Services/Node/server_prober.cpp
+++ b/Services/Node/server_prober.cpp
@@ -53,7 +53,7 @@
                            bool IsReached) {
   const auto Trial = Trials.find(Serial);
   // The trial's own code may still be on the stack.
-  Node.Retired.push_back(std::move(Trial->second));
+  Node.Loop.retire(std::move(Trial->second));
   Trials.erase(Trial);
   const auto Found = Node.Steering.Targets.ById.find(Id);
   if (Found == Node.Steering.Targets.ById.end() ||
--- a/Services/Node/store_connection.cpp
+++ b/Services/Node/store_connection.cpp
@@ -14,7 +14,7 @@
 
 store_connection::~store_connection() { Node.Loop.cancel(Timer); }
 
-void store_connection::dropConnection() { retireConnection(Node, Connection); }
+void store_connection::dropConnection() { abortConnection(Connection); }
 
 void store_connection::setServer(const std::string &NewServer) {
   if (Server == NewServer)
@@ -35,7 +35,7 @@
     dropConnection();
   if (!Connection) {
     auto Endpoint = parseEndpoint(Server);
-    Connection = std::make_unique<client_connection>(Node.Loop);
+    Connection = makeConnection(Node.Loop);
     if (!Endpoint || !Connection->connect(*Endpoint, StoreAckTimeout)) {
       // The timer ends the call: calling back immediately would recurse.
       dropConnection();
--- a/Services/Node/store_connection.h
+++ b/Services/Node/store_connection.h
@@ -51,7 +51,7 @@
 
   node &Node;
   std::string Server;
-  std::unique_ptr<client_connection> Connection;
+  connection_handle Connection;
   std::function<void(store_response)> OnDone;
   timer_id Timer = 0;
   /// Maximum time without received bytes during the current call.
--- a/Services/Node/target_pool.cpp
+++ b/Services/Node/target_pool.cpp
@@ -40,8 +40,7 @@
   return Node.Loop.now() - Connection.IdleSince < Usable;
 }
 
-std::unique_ptr<client_connection> target_pool::acquire(const target &Target,
-                                                        work_class Class) {
+connection_handle target_pool::acquire(const target &Target, work_class Class) {
   auto Found = Idle.find(Target.Serial);
   if (Found == Idle.end())
     return nullptr;
@@ -56,23 +55,20 @@
   return Connection;
 }
 
-std::unique_ptr<client_connection> target_pool::connect(const target &Target) {
+connection_handle target_pool::connect(const target &Target) {
   auto Endpoint = parseEndpoint(Target.Entry.Address);
   if (!Endpoint)
     return nullptr;
-  auto Connection = std::make_unique<client_connection>(Node.Loop);
+  auto Connection = makeConnection(Node.Loop);
   if (!Connection->connect(*Endpoint, AckTimeout))
     return nullptr;
   return Connection;
 }
 
-void target_pool::release(const target &Target,
-                          std::unique_ptr<client_connection> Connection) {
+void target_pool::release(const target &Target, connection_handle Connection) {
   auto &Connections = Idle[Target.Serial];
   if (Connections.size() < MaxIdlePerTarget)
     Connections.push_back(std::move(Connection));
-  else
-    Connection->close();
 }
 
 void target_pool::closeIdle(const std::string &Service) {
--- a/Services/Node/target_pool.h
+++ b/Services/Node/target_pool.h
@@ -25,13 +25,11 @@
 
   /// Returns the most recently used pooled connection to \p Target, or nullptr
   /// if there is none that the server is certain to keep open.
-  std::unique_ptr<client_connection> acquire(const target &Target,
-                                             work_class Class);
+  connection_handle acquire(const target &Target, work_class Class);
   /// Starts a new connection; returns nullptr when that fails immediately.
-  std::unique_ptr<client_connection> connect(const target &Target);
-  /// Returns a connection to the pool, or closes it.
-  void release(const target &Target,
-               std::unique_ptr<client_connection> Connection);
+  connection_handle connect(const target &Target);
+  /// Returns a connection to the pool, or drops it if the pool is full.
+  void release(const target &Target, connection_handle Connection);
   /// Closes the pooled connections to the servers of \p Service.
   void closeIdle(const std::string &Service);
   /// Called with each change of the paths to the service of \p Target.
@@ -53,9 +51,7 @@
   server_prober Prober;
   /// Keyed by the server's serial: a connection to an earlier start of a server
   /// is dead or leads nowhere.
-  absl::flat_hash_map<std::uint64_t,
-                      std::vector<std::unique_ptr<client_connection>>>
-      Idle;
+  absl::flat_hash_map<std::uint64_t, std::vector<connection_handle>> Idle;
 };
 
 } // namespace amaranthhoist
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -399,3 +399,35 @@
     ++Version;
   }
 }
+
+// Failure: a node ends with a fault, because servers closed more connections
+// than it pools, each in one event with its response.
+TEST(NodeProcess, ServersMayCloseManyConnectionsAfterTheirResponses) {
+  small_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.setAll(behavior::ClosesAfterResponse);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->Work = std::chrono::milliseconds(300);
+  std::vector<std::unique_ptr<caller_call>> Calls;
+  for (int Request = 0; Request < 64; ++Request)
+    Calls.push_back(
+        Fleet.startRequest(*Fleet.Node, "/safe/x", cat("id-", Request)));
+  const auto HaveRun = [&](std::size_t Least) {
+    return std::all_of(
+        Fleet.Targets.begin(), Fleet.Targets.end(),
+        [&](const auto &Entry) { return Entry.second->Runs.size() >= Least; });
+  };
+  // The node sees all responses and closes at once.
+  CHECK(Fleet.runUntil([&] { return HaveRun(8); }));
+  Fleet.signal(*Fleet.Node, SIGSTOP);
+  Fleet.runFor(std::chrono::milliseconds(600));
+  Fleet.signal(*Fleet.Node, SIGCONT);
+  CHECK(Fleet.runUntil([&] {
+    return std::all_of(Calls.begin(), Calls.end(), [](const auto &Call) {
+      return Call->response().IsCompleted;
+    });
+  }));
+  CHECK(!Fleet.hasExited(*Fleet.Node));
+  Fleet.setAll(behavior::Normal);
+  LONGS_EQUAL(200, Fleet.fetch(*Fleet.Node, "/safe/x", "after").Status);
+}
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -82,6 +82,10 @@
   case behavior::Sheds:
     Connection->respond(200, Fields, Body);
     return;
+  case behavior::ClosesAfterResponse:
+    Connection->respond(200, Fields, Body);
+    Connection->close();
+    return;
   case behavior::LosesResponses:
     Connection->reset();
     return;
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -22,6 +22,8 @@
     Sheds,
     /// Executes the request and resets the connection instead of responding.
     LosesResponses,
+    /// Closes the connection after each response, without having announced it.
+    ClosesAfterResponse,
     /// Closes the connection in the middle of the body.
     TruncatesBody,
     /// Sends bytes that are not an HTTP response.
