Node: responses without end fail at once

What callers would have seen: a server in trouble that sends bytes without end kept a request until its deadline, though another server would have served it, and the node held all of the bytes.

Cause: what a node passes on as it comes is bounded by back pressure, but what it holds back was not: bodies of errors (held so that the request can be sent again), of rejections, and of responses to other requests; nor was the number of interim responses, nor a response of the store or a peer.

Change: each has a limit in bytes or number, and exceeding it ends the attempt as an invalid response.

Why it works: a request waits for a server only while it may still get a valid response from it; nothing that is held grows with what a server sends.

--- a/Libraries/HttpConnection/client_connection.cpp
+++ b/Libraries/HttpConnection/client_connection.cpp
@@ -9,6 +9,10 @@
 /// Number of responses to other calls that are skipped before the connection is
 /// considered out of sync.
 static constexpr int MaxSkippedResponses = 2;
+/// Interim responses (1xx) to one call; servers send one or two.
+static constexpr int MaxInterimResponses = 16;
+/// Body bytes of skipped responses, several times the largest response.
+static constexpr std::size_t MaxSkippedBytes = 4'194'304;
 
 client_connection::client_connection(event_loop &Loop)
     : Loop(Loop), Stream(Loop, *this),
@@ -36,6 +40,8 @@
   HeadHandled = false;
   IsSkippingResponse = false;
   SkippedResponses = 0;
+  InterimResponses = 0;
+  SkippedBytes = 0;
   ++CallCount;
   Reader.reset(IsForHead);
   Stream.write(Request);
@@ -79,8 +85,10 @@
   const message_head &Head = Reader.head();
   // Interim responses precede the final one.
   IsSkippingResponse = Head.status() / 100 == 1;
-  if (IsSkippingResponse)
+  if (IsSkippingResponse) {
+    ++InterimResponses;
     return;
+  }
   IsSkippingResponse = !Owner->onHead(Head);
   if (IsSkippingResponse) {
     // An extra response: the connection is out of sync and must not be reused
@@ -109,14 +117,18 @@
       handleHead();
       if (!Owner)
         return;
-      if (SkippedResponses > MaxSkippedResponses) {
-        failCall(/*Garbled=*/true);
-        return;
-      }
     }
-    if (IsSkippingResponse)
+    if (IsSkippingResponse) {
+      SkippedBytes += Reader.body().size();
       Reader.body().clear();
-    else if (HeadHandled && !Reader.body().empty())
+    }
+    if (SkippedResponses > MaxSkippedResponses ||
+        InterimResponses > MaxInterimResponses ||
+        SkippedBytes > MaxSkippedBytes) {
+      failCall(/*Garbled=*/true);
+      return;
+    }
+    if (!IsSkippingResponse && HeadHandled && !Reader.body().empty())
       Owner->onBody(Reader.body());
     if (!Owner)
       return;
--- a/Libraries/HttpConnection/client_connection.h
+++ b/Libraries/HttpConnection/client_connection.h
@@ -99,6 +99,8 @@
   bool IsReusable = true;
   int CallCount = 0;
   int SkippedResponses = 0;
+  int InterimResponses = 0;
+  std::size_t SkippedBytes = 0;
 };
 
 /// Closes a connection and leaves its destruction to the event loop.
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -208,6 +208,7 @@
   AttemptStartedAt = Node.Loop.now();
   HasResponseHead = false;
   ServerDidNotRun = false;
+  ResponseBytes = 0;
   beginAttempt(Node.Steering, Plan, Chosen, AttemptStartedAt);
   Attempts.push_back({Chosen.Entry.Id, AttemptStartedAt, {}, {}});
   Connection = Pool.acquire(Chosen, Plan.Class);
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -152,6 +152,7 @@
   std::optional<target_load> readLoad(const message_head &Head);
   /// Applies what the response head reports about the server itself.
   void applyServerState(const message_head &Head);
+  bool isHeldBodyTooLong() const;
   void beginStreaming();
   void finishResponse();
   void refuse(refusal Reason);
@@ -233,6 +234,8 @@
   int Status = 0;
   std::string ResponseFields;
   std::string BufferedBody;
+  /// Body bytes received in the attempt.
+  std::size_t ResponseBytes = 0;
   bool HasResponseHead = false;
   bool IsStreaming = false;
   bool IsChunked = false;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -22,17 +22,31 @@
   return Text;
 }
 
+/// Whether a response that is held back until it is complete, a refusal or an
+/// error without a stated length, is longer than any valid one. It may have no
+/// end.
+bool exchange::isHeldBodyTooLong() const {
+  const bool IsHeld =
+      ServerDidNotRun || (Status >= 500 && !Connection->contentLength());
+  return IsHeld && ResponseBytes > MaxBufferedResponse;
+}
+
 void exchange::onBody(std::string &Body) {
+  ResponseBytes += Body.size();
   if (Caller && !ServerDidNotRun)
     BufferedBody.append(Body);
   Body.clear();
+  if (isHeldBodyTooLong()) {
+    onFailure({.HadResponseBytes = true, .IsMalformed = true});
+    return;
+  }
   if (BufferedBody.empty())
     return;
   if (!IsStreaming) {
     const bool IsLong =
         Connection->contentLength().value_or(0) > MaxBufferedResponse ||
         BufferedBody.size() > MaxBufferedResponse;
-    if (!IsLong || Status >= 500)
+    if (!IsLong)
       return;
     beginStreaming();
   }
--- a/Services/Node/exchange_forward.cpp
+++ b/Services/Node/exchange_forward.cpp
@@ -106,6 +106,7 @@
   HoldsToken = false;
   HasResponseHead = false;
   ServerDidNotRun = false;
+  ResponseBytes = 0;
   PeerAttempts.reset();
   Peer = Member.Name;
   TriedPeers.push_back(Peer);
--- a/Services/Node/store_connection.cpp
+++ b/Services/Node/store_connection.cpp
@@ -8,6 +8,9 @@
 /// that a watch on a dead connection is detected: changes must be applied
 /// within 2.5 s.
 static constexpr duration StoreAckTimeout = std::chrono::milliseconds(1'000);
+/// The store's pages have 1 MB at most, a peer's packed snapshot of the largest
+/// planned fleet less.
+static constexpr std::size_t MaxResponseBytes = 16U << 20U;
 
 store_connection::store_connection(node &Node, std::string Server)
     : Node(Node), Server(std::move(Server)) {}
@@ -84,6 +87,14 @@
   startTimer();
   Response.Body.append(Piece);
   Piece.clear();
+  if (Response.Body.size() <= MaxResponseBytes)
+    return;
+  Node.Log.write(log_kind::ClusterState, "response_too_long",
+                 {{"from", Server},
+                  {"bytes", static_cast<std::int64_t>(Response.Body.size())}},
+                 Node.Loop.now());
+  dropConnection();
+  finish(0);
 }
 
 void store_connection::onComplete() { finish(Response.Status); }
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -4,6 +4,11 @@
 
 namespace amaranthhoist {
 
+/// Bytes that an endless response sends at a time and in all. The latter bounds
+/// the stand-in's own memory.
+static constexpr std::size_t PieceBytes = 65'536;
+static constexpr std::size_t EndlessBytes = 64U << 20U;
+
 std::string target_stand_in::bodyFor(std::string_view RequestId) {
   std::string Body;
   for (int Line = 0; Line < 40; ++Line)
@@ -50,6 +55,59 @@
   Loop.runAfter(Work, [this, Number, RequestId] { finish(Number, RequestId); });
 }
 
+void target_stand_in::sendEndless(std::uint64_t Number,
+                                  const std::string &RequestId) {
+  const std::string Own =
+      cat("X-Attempt-Id: ", RequestId, "\r\nX-Response-Stamp: stamp-",
+          RequestId, "\r\n");
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Text(PieceBytes, 'x');
+  std::string Start;
+  std::string Piece = Text;
+  switch (Behavior) {
+  case behavior::EndlessHead:
+    Start = cat("HTTP/1.1 200 OK\r\n", Own, "X-Field: ");
+    break;
+  case behavior::EndlessInterimResponses:
+    Piece = "HTTP/1.1 102 Processing\r\n\r\n";
+    break;
+  case behavior::EndlessError:
+    Start = cat("HTTP/1.1 500 Internal Server Error\r\n", Own, "\r\n");
+    break;
+  case behavior::EndlessRejection:
+    Start = cat("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: ", RequestId,
+                "\r\nX-Not-Executed: 1\r\n\r\n");
+    break;
+  case behavior::EndlessOtherResponse:
+    Start = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+            "X-Response-Stamp: stamp-other\r\n\r\n";
+    break;
+  case behavior::EndlessChunkExtension:
+    Start = cat("HTTP/1.1 200 OK\r\n", Own, Chunked, "5;");
+    break;
+  default:
+    Start = cat("HTTP/1.1 200 OK\r\n", Own, Chunked, "0\r\nX-Field: ");
+    break;
+  }
+  if (stand_in_connection *Connection = connection(Number))
+    Connection->send(Start);
+  repeat(Number, Piece, EndlessBytes);
+}
+
+void target_stand_in::repeat(std::uint64_t Number, const std::string &Piece,
+                             std::size_t Bytes) {
+  stand_in_connection *Connection = connection(Number);
+  if (!Connection || Bytes == 0)
+    return;
+  std::string Text;
+  while (Text.size() < PieceBytes)
+    Text.append(Piece);
+  Connection->send(Text);
+  Loop.runAfter(duration::zero(), [this, Number, Piece, Bytes] {
+    repeat(Number, Piece, Bytes - std::min(Bytes, PieceBytes));
+  });
+}
+
 void target_stand_in::crash() {
   HasCrashed = true;
   InFlight.clear();
@@ -80,7 +138,7 @@
   switch (Behavior) {
   case behavior::Normal:
   case behavior::Sheds:
-    Connection->respond(200, Fields, Body);
+    Connection->respond(Status, Fields, Body);
     return;
   case behavior::ClosesAfterResponse:
     Connection->respond(200, Fields, Body);
@@ -98,6 +156,15 @@
   case behavior::SendsGarbage:
     Connection->send("this is no answer\r\n\r\n");
     return;
+  case behavior::EndlessHead:
+  case behavior::EndlessInterimResponses:
+  case behavior::EndlessError:
+  case behavior::EndlessRejection:
+  case behavior::EndlessOtherResponse:
+  case behavior::EndlessChunkExtension:
+  case behavior::EndlessTrailer:
+    sendEndless(Number, RequestId);
+    return;
   case behavior::RespondsTwice:
     Connection->respond(200, Fields, Body);
     Connection->send(cat("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n",
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -28,6 +28,16 @@
     TruncatesBody,
     /// Sends bytes that are not an HTTP response.
     SendsGarbage,
+    /// Sends bytes without end instead of a response: in a header field, in
+    /// interim responses, in the body of an error, of a rejection, of a
+    /// response to another request, in a chunk's extension, or in a trailer.
+    EndlessHead,
+    EndlessInterimResponses,
+    EndlessError,
+    EndlessRejection,
+    EndlessOtherResponse,
+    EndlessChunkExtension,
+    EndlessTrailer,
     /// Sends a second, unsolicited response after each response.
     RespondsTwice,
     /// Responds without the signature.
@@ -38,6 +48,8 @@
   behavior Behavior = behavior::Normal;
   /// Execution time of a request.
   duration Work = std::chrono::milliseconds(20);
+  /// Status of responses to executed requests.
+  int Status = 200;
   /// Bytes that are added to the body of a response.
   std::size_t PaddingBytes = 0;
   /// Load reported in responses: running, waiting, slots.
@@ -83,6 +95,10 @@
   void onRequest(stand_in_connection &Connection) override;
   void onConnectionEnd(stand_in_connection &Connection) override;
   void finish(std::uint64_t Number, const std::string &RequestId);
+  void sendEndless(std::uint64_t Number, const std::string &RequestId);
+  /// Repeats \p Piece until the connection is closed or \p Bytes are sent.
+  void repeat(std::uint64_t Number, const std::string &Piece,
+              std::size_t Bytes);
   void crash();
 
   /// Requests in flight, by connection number.
