Node: only the configuration in force is applied

What callers would have seen: another object of the kind of configurations, such as a draft, came into force, and if its version was higher, the one in force counted as older and no later change was applied. Named by the review by reading; no deployment is known to have met it.

Cause: whatever the store held under that kind was applied.

Evidence: node-process-tests ForeignEntries OtherConfigurationsAreNotApplied failed on the former node.

--- a/Services/Node/replicated_state.cpp
+++ b/Services/Node/replicated_state.cpp
@@ -173,7 +173,7 @@
 void replicated_state::apply(object_kind Kind, const object_change &Change) {
   switch (Kind) {
   case object_kind::Configuration:
-    if (!Change.IsDeleted)
+    if (!Change.IsDeleted && platform::isConfigurationInForce(Change.Name))
       applyConfigurationText(Change.Text);
     return;
   case object_kind::Target:
--- a/Tests/NodeProcesses/foreign_entry_test.cpp
+++ b/Tests/NodeProcesses/foreign_entry_test.cpp
@@ -88,3 +88,21 @@
   }));
   LONGS_EQUAL(200, Fleet.fetch(*Fleet.Node, "/safe/x", "id-1").Status);
 }
+
+// Failure: a configuration under another name comes into force, and the one in
+// force counts as older.
+TEST(ForeignEntries, OtherConfigurationsAreNotApplied) {
+  small_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  Fleet.Store.put("config", "draft",
+                  {{"version", "00000009"},
+                   {"resources",
+                    {{{"resource_kind", "limits"},
+                      {"metadata", {{"name", "limits"}}},
+                      {"specification", nlohmann::json::object()}}}}});
+  Fleet.putConfiguration(2, /*HasExtra=*/true);
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.fetch(*Fleet.Node, "/extra/x", "id-1").Status == 200;
+  }));
+  LONGS_EQUAL(200, Fleet.fetch(*Fleet.Node, "/safe/x", "id-2").Status);
+}
