Platform: names are encoded in paths and queries

What callers would have seen: if the last object of a page has a name with a blank, `&` or `#`, which another writer may choose, the list could not go on after it, and the node learned no more servers. Named by the review by reading; no deployment is known to have met it.

Cause: names went into paths and queries as they are.

Evidence: PlatformCodec NamesAreEncodedInPaths failed on the former codec: it wrote `?after=rack 7&wait_ms=#...`, with the line ends of the name.

Change: all but unreserved characters, `:` and `@` are percent-encoded. The names of today's objects have none of the others and stay as they were.

--- a/Libraries/Text/text.cpp
+++ b/Libraries/Text/text.cpp
@@ -42,6 +42,23 @@
   return Result;
 }
 
+std::string percentEncode(std::string_view Text) {
+  constexpr std::string_view Kept = "-._~:@";
+  std::string Encoded;
+  for (const char Character : Text) {
+    const bool IsAlphanumeric = (Character >= '0' && Character <= '9') ||
+                                (Character >= 'A' && Character <= 'Z') ||
+                                (Character >= 'a' && Character <= 'z');
+    if (IsAlphanumeric || Kept.find(Character) != std::string_view::npos) {
+      Encoded.push_back(Character);
+      continue;
+    }
+    Encoded.push_back('%');
+    appendHex(Encoded, static_cast<unsigned char>(Character), 2);
+  }
+  return Encoded;
+}
+
 std::string_view strip(std::string_view Text) {
   constexpr std::string_view Space = " \t\r\n";
   const std::size_t First = Text.find_first_not_of(Space);
--- a/Libraries/Text/text.h
+++ b/Libraries/Text/text.h
@@ -65,6 +65,9 @@
 /// Converts ASCII letters to lower case.
 std::string toLower(std::string_view Text);
 
+/// Encodes \p Text as a part of a URL's path or query (RFC 3986).
+std::string percentEncode(std::string_view Text);
+
 /// Removes white space from both ends.
 std::string_view strip(std::string_view Text);
 std::vector<std::string_view> split(std::string_view Text, char Separator);
--- a/Tests/platform_codec_test.cpp
+++ b/Tests/platform_codec_test.cpp
@@ -149,6 +149,19 @@
               platform::encodeAddresses(Addresses, seconds(2)));
 }
 
+// Failure: the name of another writer's object ends the list of which it is the
+// last one on a page.
+TEST(PlatformCodec, NamesAreEncodedInPaths) {
+  CHECK_EQUAL(
+      std::string("/amaranthhoist/objects/servers?after="
+                  "rack%207%26wait_ms%3d%23%25%2f%c3%a9%0d%0a&allow_stale=1"),
+      platform::encodeRequestPath(
+          object_kind::Target,
+          {store_verb::List, "rack 7&wait_ms=#%/\xc3\xa9\r\n", 0, true}, {}));
+  CHECK_EQUAL(std::string("/amaranthhoist/objects/instances/a%2fb%3fc"),
+              platform::encodeObjectPath(object_kind::Instance, "a/b?c", {}));
+}
+
 TEST(PlatformCodec, InvalidInputIsAnError) {
   std::mt19937_64 Random(13);
   for (const std::string &Valid : {ConfigurationText, TargetText}) {
