StoreClient: an object without a readable name ends no list

What callers would have seen: a page whose last object has no name that can be decoded made the node begin the list again, for good.

Cause: the list went on after the last object's name, and an empty one means the beginning.

Evidence: Store ListGoesOnAfterTheLastName failed on the former code (the next call began the list).

Change: the list goes on after the last name that there is.

--- a/Libraries/StoreClient/list_watch.cpp
+++ b/Libraries/StoreClient/list_watch.cpp
@@ -32,8 +32,14 @@
   std::move(Page.Items.begin(), Page.Items.end(),
             std::back_inserter(Watch.Pages));
   if (Page.HasMore && !Watch.Pages.empty()) {
-    Watch.After = Watch.Pages.back().Name;
-    return nullptr;
+    // An object whose name can't be decoded ends no list.
+    const auto Last =
+        std::find_if(Watch.Pages.rbegin(), Watch.Pages.rend(),
+                     [](const auto &Object) { return !Object.Name.empty(); });
+    if (Last != Watch.Pages.rend()) {
+      Watch.After = Last->Name;
+      return nullptr;
+    }
   }
   Watch.After.clear();
   Watch.Next = store_verb::Watch;
--- a/Tests/store_test.cpp
+++ b/Tests/store_test.cpp
@@ -47,6 +47,16 @@
   LONGS_EQUAL(10, nextRequest(Watch).Revision);
 }
 
+// Failure: the last object of a page has no name that can be decoded, and the
+// list begins again for good.
+TEST(Store, ListGoesOnAfterTheLastName) {
+  list_watch Watch;
+  applyPage(Watch, {{{"a", 3, "{}"}, {"", 0, ""}}, /*HasMore=*/true, 10});
+  CHECK_EQUAL(std::string("a"), nextRequest(Watch).After);
+  const auto *All = applyPage(Watch, {{{"b", 4, "{}"}}, false, 12});
+  LONGS_EQUAL(3, All->size());
+}
+
 TEST(Store, ExpiredHistoryCausesList) {
   list_watch Watch;
   applyPage(Watch, {{}, false, 10});
