Node: pipelined requests wait while the caller reads nothing

What callers would have seen: a caller that sends one request after the other and reads no response filled the node's memory, which all callers share.

Cause: reading from a server pauses at 256 KB of unsent bytes, but a response of up to 64 KB is written whole, and the next request of the connection was begun however much was unsent.

Evidence: node-process-tests SlowReader PipelinedRequestsWaitForTheCaller failed on the former node: over 25 of 100 requests of 60 kB were begun while the caller read nothing.

Change: with more than that unsent, no further request of a connection is begun; those that wait longer than their deadline are refused, as before. The same bound serves both, and is stated once. Input is no longer read beyond the backlog while requests wait so. A limit for all callers of a node together is not built.

Measured: SlowReader PipelinedRequestsWaitForTheCaller held; the tests of pipelined requests, 6 of 6 (with `-g Pipelin`).

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -127,9 +127,9 @@
     return;
   LastBytesAt = Node.Loop.now();
   Backlog.append(Bytes);
-  if (!Slots.empty() && Backlog.size() > MaxBacklogBytes)
-    Stream.pause();
   processBacklog();
+  if (!IsClosing && Backlog.size() > MaxBacklogBytes)
+    Stream.pause();
 }
 
 void caller_connection::onFlushed() {
@@ -140,6 +140,9 @@
     setTimer(CloseTimeout, &caller_connection::closeNow);
   else if (!Reader.hasStarted())
     setTimer(limits().IdleTimeout, &caller_connection::onIdleTimeout);
+  // Requests may wait because of the unsent bytes.
+  Stream.resume();
+  processBacklog();
 }
 
 void caller_connection::sendNow(std::string_view Bytes) {
@@ -151,6 +154,8 @@
 bool caller_connection::mayReadNext() const {
   if (IsClosing || IsLastRequestRead || DeferredRequest || DeferredRejection)
     return false;
+  if (!Reader.hasStarted() && Stream.pendingBytes() > MaxUnsentBytes)
+    return false;
   // Nobody waits for the response to a request that is read only now.
   if (Stream.hasPeerDisconnected())
     return false;
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -17,6 +17,11 @@
 
 namespace amaranthhoist {
 
+/// Unsent bytes at which a caller's connection takes no more: reading from the
+/// server pauses, and no further request is begun. Bounds the memory that a
+/// slow caller costs.
+inline constexpr std::size_t MaxUnsentBytes = 262'144;
+
 /// A request as read from the caller.
 struct caller_request {
   std::string Id;
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -8,9 +8,6 @@
 /// Responses up to this size are buffered until complete, so that one whose
 /// connection breaks can be retried without the caller noticing.
 static constexpr std::size_t MaxBufferedResponse = 65'536;
-/// Unsent bytes at which reading from the server pauses, to bound the memory
-/// that a slow caller costs.
-static constexpr std::size_t MaxUnsentBytes = 262'144;
 
 static std::string beginHead(int Status, const std::string &Fields,
                              bool KeepsAlive) {
--- a/Tests/NodeProcesses/slow_reader.h
+++ b/Tests/NodeProcesses/slow_reader.h
@@ -24,19 +24,25 @@
               std::string_view Id, std::string_view Fields = {})
       : Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     connectTo(*parseEndpoint(Address));
+    request(Path, Id, Fields);
+  }
+  ~slow_reader() { close(Socket); }
+  slow_reader(const slow_reader &) = delete;
+  slow_reader &operator=(const slow_reader &) = delete;
+
+  /// Sends a request, behind those before it.
+  void request(std::string_view Path, std::string_view Id,
+               std::string_view Fields = {}) const {
     const std::string Text =
         cat("GET ", Path, " HTTP/1.1\r\nHost: shop.example\r\n",
             "X-Attempt-Id: ", Id, "\r\nX-Affinity-Key: ", Id,
             "\r\nX-Deadline-Remaining: 3000\r\n", Fields, "\r\n");
     send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL);
   }
-  ~slow_reader() { close(Socket); }
-  slow_reader(const slow_reader &) = delete;
-  slow_reader &operator=(const slow_reader &) = delete;
 
-  /// Reads what has arrived. Returns whether the response or the connection has
-  /// ended.
-  bool readToEnd() {
+  /// Reads what has arrived. Returns whether \p Wanted responses are complete,
+  /// or the connection has ended.
+  bool readToEnd(int Wanted = 1) {
     std::array<char, 4'096> Bytes{};
     for (;;) {
       const ssize_t Count =
@@ -45,16 +51,25 @@
         return false;
       if (Count <= 0)
         return true;
-      Reader.feed({Bytes.data(), static_cast<std::size_t>(Count)});
-      if (isComplete())
+      feed({Bytes.data(), static_cast<std::size_t>(Count)});
+      if (CompleteResponses >= Wanted)
         return true;
     }
   }
-  [[nodiscard]] bool isComplete() const {
-    return Reader.state() == read_state::Complete;
-  }
+  [[nodiscard]] bool isComplete() const { return CompleteResponses > 0; }
+  [[nodiscard]] int completeResponses() const { return CompleteResponses; }
 
 private:
+  void feed(std::string_view Bytes) {
+    while (!Bytes.empty()) {
+      Bytes.remove_prefix(Reader.feed(Bytes));
+      if (Reader.state() != read_state::Complete)
+        return;
+      ++CompleteResponses;
+      Reader.reset();
+    }
+  }
+
   /// The kernel completes the connection before the node accepts it.
   void connectTo(const endpoint &Endpoint) const {
     const int SegmentBytes = 1'460;
@@ -72,6 +87,7 @@
 
   int Socket;
   message_reader Reader{message_kind::Response, 65'536};
+  int CompleteResponses = 0;
 };
 
 } // namespace amaranthhoist
--- a/Tests/NodeProcesses/slow_reader_test.cpp
+++ b/Tests/NodeProcesses/slow_reader_test.cpp
@@ -107,3 +107,24 @@
   CHECK(Fleet.runUntil([&] { return Reader.readToEnd(); }));
   CHECK(!Reader.isComplete());
 }
+
+// Failure: a caller that sends one request after the other and reads nothing
+// fills the node's memory with responses.
+TEST(SlowReader, PipelinedRequestsWaitForTheCaller) {
+  constexpr int Requests = 100;
+  small_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->PaddingBytes = 60'000;
+  slow_reader Reader(Fleet.Node->Callers, "/safe/x", "id-0");
+  for (int Request = 1; Request < Requests; ++Request)
+    Reader.request("/safe/x", cat("id-", Request));
+  Fleet.runFor(seconds(3));
+  std::size_t Begun = 0;
+  for (const auto &[Id, Target] : Fleet.Targets)
+    Begun += Target->Runs.size();
+  CHECK(Begun < Requests / 4);
+  // Those that waited for longer than their deadline are refused.
+  CHECK(Fleet.runUntil([&] { return Reader.readToEnd(Requests); }));
+  LONGS_EQUAL(Requests, Reader.completeResponses());
+}
