Node: responses before an aborted one are logged if they are lost

When a response is aborted, its connection is reset, and with it what is unsent of complete responses before it, which the log did not name. An aborted response no longer counts as written.

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -357,9 +357,11 @@
   while (!Slots.empty() && Slots.front()->isDone()) {
     const bool IsAborted = Slots.front()->isAborted();
     const bool ClosesConnection = Slots.front()->closesConnection();
-    recordWritten(Unsent, Slots.front()->requestId(), Stream.pendingBytes());
+    if (!IsAborted)
+      recordWritten(Unsent, Slots.front()->requestId(), Stream.pendingBytes());
     retireFirst();
     if (IsAborted) {
+      logUnsent("later_response_aborted");
       Stream.closeWithReset();
       onDisconnect(disconnect_reason::ConnectionLost);
       return;
