Pacing: uninformed instances spread their first requests

Cause, suspected until now: an instance that can't know which servers are cold keeps to its part of the allowance between two requests to a server, but not before the first. Instances that become uninformed together, as all that restart do, each sent a first one at once.

Evidence: `unit-tests -g Steering` InstancesThatBecomeUninformedTogetherDoNotSendAtOnce, 74 instances and one server, failed on the former code: over 6 requests in one second.

Change: the first request waits for a part of the interval between two, by the instance's rank in the rendezvous order of the server, so that all of them send one after the other.

Kept: the bound is a rule, and the requests of the first interval are as many as before, only later.

--- a/Libraries/Pacing/pacing.cpp
+++ b/Libraries/Pacing/pacing.cpp
@@ -44,6 +44,16 @@
   return UninformedShare * Allowed / static_cast<double>(Instances);
 }
 
+instant firstUninformedRequest(instant Since, double OwnRate,
+                               std::uint64_t TargetHash, std::uint64_t OwnHash,
+                               const std::vector<std::uint64_t> &Instances) {
+  const auto Rank = static_cast<double>(
+      countHigherRankedInstances(TargetHash, OwnHash, Instances));
+  const double Share = Rank / static_cast<double>(Instances.size());
+  return Since +
+         duration(static_cast<std::int64_t>(1'000'000 * Share / OwnRate));
+}
+
 bool admitsPacedRequest(const target &Target, double OwnRate, instant Now) {
   return OwnRate > 0 && Now >= Target.NextPacedRequest;
 }
--- a/Libraries/Pacing/pacing.h
+++ b/Libraries/Pacing/pacing.h
@@ -131,6 +131,13 @@
                                      double ColdRequestsPerSecond,
                                      std::size_t Instances);
 
+/// Time from which an instance that became uninformed at \p Since may send to a
+/// server at \p OwnRate requests per second. The instances that become so
+/// together share the interval between two requests of each.
+instant firstUninformedRequest(instant Since, double OwnRate,
+                               std::uint64_t TargetHash, std::uint64_t OwnHash,
+                               const std::vector<std::uint64_t> &Instances);
+
 /// Whether a request may be sent to \p Target now at \p OwnRate requests per
 /// second.
 bool admitsPacedRequest(const target &Target, double OwnRate, instant Now);
--- a/Libraries/Steering/candidates.cpp
+++ b/Libraries/Steering/candidates.cpp
@@ -43,7 +43,14 @@
 static bool admitsPacedRequest(const steering &Steering, const target &Target,
                                instant Now) {
   const auto Rate = pacedRate(Steering, Target, Now);
-  return !Rate || admitsPacedRequest(Target, *Rate, Now);
+  if (!Rate)
+    return true;
+  const bool IsCold = Now < Target.ColdUntil;
+  if (!IsCold && Now < firstUninformedRequest(
+                           Steering.UninformedSince, *Rate, Target.Hash,
+                           Steering.Instances.front(), Steering.Instances))
+    return false;
+  return admitsPacedRequest(Target, *Rate, Now);
 }
 
 void recordPacedRequest(const steering &Steering, target &Target, instant Now) {
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -59,6 +59,8 @@
   /// This instance's state is old, and other instances that it does not hear
   /// may know more: servers may have become cold without its notice.
   bool IsUninformed = false;
+  /// When that began.
+  instant UninformedSince{};
   cold_bounds ColdBounds;
   /// How far requests with large bodies stay in the own failure domain: from 0,
   /// where all servers of the region are alike, to 1, where they leave it only
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -118,6 +118,7 @@
   if (Node.Steering.IsUninformed == IsUninformed)
     return;
   Node.Steering.IsUninformed = IsUninformed;
+  Node.Steering.UninformedSince = Node.Loop.now();
   Node.Log.write(
       log_kind::ClusterState,
       IsUninformed ? "state_unconfirmed" : "state_confirmed",
--- a/Tests/steering_test.cpp
+++ b/Tests/steering_test.cpp
@@ -4,6 +4,7 @@
 #include "Steering/steering.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -406,6 +407,41 @@
   LONGS_EQUAL(6, Received.size());
 }
 
+// Failure: instances that become uninformed together each send a first request
+// at once to a server that has become cold.
+TEST(Steering, InstancesThatBecomeUninformedTogetherDoNotSendAtOnce) {
+  constexpr std::size_t Instances = 74;
+  constexpr double ColdRate = 2.5;
+  std::vector<instant> Sent;
+  for (std::size_t Instance = 0; Instance < Instances; ++Instance) {
+    steering Steering = makeSteering(1, work_class::Idempotent);
+    Steering.Instances.clear();
+    for (std::size_t Other = 0; Other < Instances; ++Other)
+      Steering.Instances.push_back(
+          stableHash(cat("n", (Instance + Other) % Instances)));
+    Steering.ColdBounds = {1.5, 5};
+    Steering.IsUninformed = true;
+    Steering.UninformedSince = instant(seconds(1));
+    request_plan Plan = plan(Steering);
+    for (instant Now(seconds(1)); Now < instant(seconds(31));
+         Now += milliseconds(20)) {
+      Plan.Deadline = Now + seconds(2);
+      const auto Chosen = chooseTarget(Steering, Plan, Now);
+      if (!Chosen)
+        continue;
+      beginAttempt(Steering, Plan, **Chosen, Now);
+      recordResult(Steering.Targets, **Chosen, attempt_result::Answered,
+                   milliseconds(1), Now);
+      Sent.push_back(Now);
+    }
+  }
+  std::sort(Sent.begin(), Sent.end());
+  const auto Allowed = static_cast<std::size_t>(ColdRate * 0.5 + 5);
+  CHECK(Sent.size() > Allowed * 20);
+  for (std::size_t Index = Allowed; Index < Sent.size(); ++Index)
+    CHECK(Sent[Index] - Sent[Index - Allowed] >= seconds(1));
+}
+
 // Guards against limiting instances whose operators state no bounds.
 TEST(Steering, UninformedInstanceWithoutBoundsIsNotLimited) {
   steering Steering = makeSteering(6, work_class::Idempotent);
