--- a/Tests/NodeProcesses/endless_test.cpp
+++ b/Tests/NodeProcesses/endless_test.cpp
@@ -76,8 +76,10 @@
     small_fleet Fleet;
     CHECK(Fleet.IsReady);
     Fleet.setAll(Behavior);
+    constexpr int Requests = 8;
     std::vector<std::unique_ptr<caller_call>> Calls;
-    for (int Request = 0; Request < 8; ++Request)
+    Calls.reserve(Requests);
+    for (int Request = 0; Request < Requests; ++Request)
       Calls.push_back(
           Fleet.startRequest(*Fleet.Node, "/safe/x", cat("id-", Request)));
     CHECK(Fleet.runUntil([&] {
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -408,8 +408,10 @@
   Fleet.setAll(behavior::ClosesAfterResponse);
   for (auto &[Id, Target] : Fleet.Targets)
     Target->Work = std::chrono::milliseconds(300);
+  constexpr int Requests = 64;
   std::vector<std::unique_ptr<caller_call>> Calls;
-  for (int Request = 0; Request < 64; ++Request)
+  Calls.reserve(Requests);
+  for (int Request = 0; Request < Requests; ++Request)
     Calls.push_back(
         Fleet.startRequest(*Fleet.Node, "/safe/x", cat("id-", Request)));
   const auto HaveRun = [&](std::size_t Least) {
--- a/Tests/NodeProcesses/slow_reader.h
+++ b/Tests/NodeProcesses/slow_reader.h
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <cstdlib>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string>
@@ -81,8 +82,9 @@
     Address.sin_family = AF_INET;
     Address.sin_port = htons(Endpoint.Port);
     Address.sin_addr.s_addr = htonl(Endpoint.Ip);
-    connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
-            sizeof Address);
+    if (connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
+                sizeof Address) != 0)
+      std::abort();
   }
 
   int Socket;
--- a/Tests/platform_codec_test.cpp
+++ b/Tests/platform_codec_test.cpp
@@ -1,5 +1,6 @@
 // The platform's names and formats: each conversion, and invalid input.
 
+#include "Text/text.h"
 #include "codec.h"
 
 #include <CppUTest/TestHarness.h>
@@ -297,8 +298,8 @@
         R"({"metadata":{"name":"odd","revision":7},"specification":)" + Text +
         "}";
     const auto Page =
-        platform::decodePage(R"({"items":[)" + Odd + "," + TargetText + "," +
-                             Odd + R"(],"more":true,"at_revision":30})");
+        platform::decodePage(cat(R"({"items":[)", Odd, ",", TargetText, ",",
+                                 Odd, R"(],"more":true,"at_revision":30})"));
     CHECK_TEXT(Page.has_value(), What);
     LONGS_EQUAL_TEXT(3, Page->Items.size(), What);
     LONGS_EQUAL(30, Page->AtRevision);
@@ -311,10 +312,10 @@
     CHECK(platform::decodeTarget(Page->Items[1].Text).has_value());
     CHECK(Page->Items[1].WhyUndecodable.empty());
     const auto Batch =
-        platform::decodeBatch(R"({"events":[{"deleted":false,"object":)" + Odd +
-                              R"(},{"deleted":true,"object":)" + Odd +
-                              R"(},{"deleted":false,"object":)" + TargetText +
-                              R"(}],"at_revision":31})");
+        platform::decodeBatch(cat(R"({"events":[{"deleted":false,"object":)",
+                                  Odd, R"(},{"deleted":true,"object":)", Odd,
+                                  R"(},{"deleted":false,"object":)", TargetText,
+                                  R"(}],"at_revision":31})"));
     CHECK_TEXT(Batch.has_value(), What);
     LONGS_EQUAL_TEXT(3, Batch->Changes.size(), What);
     CHECK(Batch->Changes[1].IsDeleted);
