--- /dev/null
+++ b/review/7/case.cpp
@@ -0,0 +1,143 @@
+// A machine is stopped while uploads are in progress. Their server works on
+// each for a while before it reads the rest of the body. The machine must not
+// break them off.
+#include "../standin-2/standin.h"
+
+using namespace standin;
+
+static constexpr std::size_t UploadBytes = 360'000;
+static constexpr double WorkTime = 2.0;
+static constexpr int Uploads = 10;
+
+static std::string answerBody(const std::string &Id) {
+  return "the whole answer to " + Id;
+}
+
+static std::mutex BrokenMutex;
+static std::map<std::string, double> StartedAt;
+static std::map<std::string, double> BrokenAt;
+
+/// Serves connections of one server, with the kernel's usual buffers: begins to
+/// work when it has read the head, reads the body after that and answers.
+static void serve(int Socket) {
+  reader Reader(Socket);
+  for (;;) {
+    message Request;
+    if (!Reader.readHead(Request, 60))
+      break;
+    const std::string Id = Request.field("x-attempt-id");
+    record("server runs %s", Id.c_str());
+    {
+      const std::lock_guard Lock(BrokenMutex);
+      StartedAt[Id] = now();
+    }
+    // Detects a reset while it works, without reading.
+    const double Until = now() + WorkTime;
+    bool IsBroken = false;
+    while (now() < Until && !IsBroken) {
+      pollfd Poll{Socket, 0, 0};
+      poll(&Poll, 1, 10);
+      IsBroken = (Poll.revents & (POLLERR | POLLHUP)) != 0;
+      sleepFor(0.005);
+    }
+    if (IsBroken) {
+      record("%s is broken off while the server works on it", Id.c_str());
+      const std::lock_guard Lock(BrokenMutex);
+      BrokenAt[Id] = now();
+      break;
+    }
+    if (!Reader.readBody(Request, /*IsResponse=*/false, 10)) {
+      record("server: %s broke off at %zu bytes", Id.c_str(),
+             Request.Body.size());
+      break;
+    }
+    const std::string Body = answerBody(Id);
+    sendAll(Socket, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Id +
+                        "\r\nX-Response-Stamp: stamp-" + Id +
+                        "\r\nContent-Length: " + std::to_string(Body.size()) +
+                        "\r\n\r\n" + Body);
+    record("server answers %s", Id.c_str());
+  }
+  close(Socket);
+}
+
+struct upload {
+  std::string Id;
+  double SentAt = 0;
+  double EndedAt = 0;
+  message Response;
+  std::thread Client;
+};
+
+int main(int, char **Arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  openRecord(Arguments[1]);
+  fleet Fleet(std::map<std::string, std::string>{{"bag-a", "bagmati"}});
+  const std::string ServerIp = ownIp(100);
+  const int ServerPort = freePort(ServerIp);
+  const int Listener = bindOn(ServerIp, ServerPort);
+  if (Listener < 0)
+    cannotRun("the server can't listen");
+  serveConnections(Listener, serve);
+  Fleet.Store.put("config", "main",
+                  configurationText(
+                      5, {routeText("/hold/", "unsafe", "desk", "4000ms")},
+                      "desk"));
+  for (int Number = 1; Number <= 4; ++Number)
+    Fleet.Store.put(
+        "servers", "i-" + std::to_string(Number),
+        serverText("desk", addressOf(ServerIp, ServerPort), "bag-a", 6));
+  Fleet.Store.start();
+  node &Node = Fleet.add("front-bag-a-1", "bag-a");
+  Fleet.start(Node);
+  Fleet.waitReady(Node);
+  sleepFor(4.5);
+
+  std::vector<upload> Sent(Uploads);
+  for (int Index = 0; Index < Uploads; ++Index) {
+    upload &Upload = Sent[static_cast<std::size_t>(Index)];
+    Upload.Id = "upload-" + std::to_string(Index + 1);
+    Upload.SentAt = now();
+    record("client sends %s, %zu bytes", Upload.Id.c_str(), UploadBytes);
+    Upload.Client = std::thread([&Upload, &Node] {
+      Upload.Response =
+          call(Node.Ip, Node.Ingress,
+               requestText("POST", "/hold/x", Upload.Id, 4'000,
+                           std::string(UploadBytes, 'u')),
+               6);
+      Upload.EndedAt = now();
+    });
+  }
+  sleepFor(0.3);
+  const double TermAt = now();
+  if (hasTrouble())
+    Fleet.signal(Node, SIGTERM);
+  int Lost = 0;
+  int Served = 0;
+  for (upload &Upload : Sent) {
+    Upload.Client.join();
+    const message &Response = Upload.Response;
+    const bool IsServers = !Response.field("x-response-stamp").empty();
+    record("%s: status %d, %s, %.2f s after it was sent", Upload.Id.c_str(),
+           Response.status(),
+           !Response.IsWhole ? "the connection ended without an answer"
+           : IsServers       ? "the server's answer"
+                             : "the node's own answer",
+           Upload.EndedAt - Upload.SentAt);
+    Served += Response.status() == 200 && IsServers ? 1 : 0;
+    const std::lock_guard Lock(BrokenMutex);
+    const bool WasAtWork = StartedAt.count(Upload.Id) > 0 &&
+                           Upload.EndedAt < StartedAt[Upload.Id] + WorkTime;
+    const bool HadTime = Upload.EndedAt - Upload.SentAt < 3.8;
+    if (hasTrouble() && !IsServers && WasAtWork && HadTime &&
+        Upload.EndedAt > TermAt) {
+      record("LOST: %s was broken off %.2f s after the SIGTERM, while its "
+             "server worked on it",
+             Upload.Id.c_str(), Upload.EndedAt - TermAt);
+      ++Lost;
+    }
+  }
+  record("%d served, %d lost", Served, Lost);
+  record(Lost > 0 ? "the rule was broken" : "the rule held");
+  finish(Lost > 0 ? 1 : 0);
+}
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -409,11 +409,22 @@
   std::string Ip = ownIp(200);
   int Port = freePort(Ip);
 
-  void start() {
-    const int Listener = bindOn(Ip, Port);
-    if (Listener < 0)
-      cannotRun("the store can't listen");
-    serveConnections(Listener, [this](int Socket) { serve(Socket); });
+  void start() { First = listenAt(Port); }
+
+  /// Serves the same objects at another port too. Returns the port.
+  int listenElsewhere() {
+    const int Other = freePort(Ip);
+    listenAt(Other);
+    return Other;
+  }
+
+  /// Ends the service at the first port: new connections are refused.
+  void closeFirst() {
+    shutdown(First, SHUT_RDWR);
+    close(First);
+    const std::lock_guard Lock(SocketsMutex);
+    for (const int Socket : FirstSockets)
+      shutdown(Socket, SHUT_RDWR);
   }
 
   void put(const std::string &Kind, const std::string &Name,
@@ -438,6 +449,23 @@
   }
 
 private:
+  int listenAt(int At) {
+    const int Listener = bindOn(Ip, At);
+    if (Listener < 0)
+      cannotRun("the store can't listen");
+    serveConnections(Listener, [this, IsFirst = At == Port](int Socket) {
+      if (IsFirst) {
+        const std::lock_guard Lock(SocketsMutex);
+        FirstSockets.insert(Socket);
+      }
+      serve(Socket);
+      const std::lock_guard Lock(SocketsMutex);
+      FirstSockets.erase(Socket);
+      close(Socket);
+    });
+    return Listener;
+  }
+
   struct event {
     std::uint64_t Revision;
     std::string Kind;
@@ -487,7 +515,6 @@
                                std::to_string(Body.size()) + "\r\n\r\n" + Body))
         break;
     }
-    close(Socket);
   }
 
   static std::string queryOf(const std::string &Target,
@@ -569,6 +596,9 @@
            "],\"at_revision\":" + std::to_string(Revision) + "}";
   }
 
+  int First = -1;
+  std::mutex SocketsMutex;
+  std::set<int> FirstSockets;
   std::mutex Mutex;
   std::condition_variable Changed;
   std::uint64_t Revision = 1;
@@ -692,7 +722,29 @@
   /// Starts a node as the deploy file says, with the settings that its template
   /// makes of the platform's fields.
   void start(node &Node) {
-    const std::string File = Folder + "/" + Node.Name + ".yaml";
+    writeSettings(Node, Store.Port);
+    const std::string Program = deployedProgram();
+    const std::string File = settingsOf(Node);
+    const std::string Log = Folder + "/" + Node.Name + ".log";
+    const std::string Root = repositoryRoot();
+    Node.Process = fork();
+    if (Node.Process != 0) {
+      record("%s starts at %s", Node.Name.c_str(), Node.Ip.c_str());
+      return;
+    }
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (chdir(Root.c_str()) != 0)
+      _exit(127);
+    const int Output = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(Output, STDOUT_FILENO);
+    dup2(Output, STDERR_FILENO);
+    setenv("AMARANTHHOIST_SETTINGS", File.c_str(), 1);
+    execl(Program.c_str(), Program.c_str(), static_cast<char *>(nullptr));
+    _exit(127);
+  }
+
+  /// Writes the settings file of a node, with the store at \p StorePort.
+  void writeSettings(const node &Node, int StorePort) const {
     std::string ZoneText;
     for (const auto &[Zone, Region] : Zones)
       ZoneText += (ZoneText.empty() ? "" : ", ") + ("\"" + Zone + "\": \"") +
@@ -701,10 +753,10 @@
     for (std::size_t At = 0; At < std::min<std::size_t>(3, Nodes.size()); ++At)
       Seeds += (Seeds.empty() ? "\"" : ", \"") +
                addressOf(Nodes[At].Ip, Control) + "\"";
-    std::ofstream(File)
+    std::ofstream(settingsOf(Node))
         << "instance: \"" << Node.Name << "\"\nfailure_domain: \"" << Node.Zone
         << "\"\nregion: \"" << Node.Region << "\"\nfailure_domains: {"
-        << ZoneText << "}\nstore: \"" << addressOf(Store.Ip, Store.Port)
+        << ZoneText << "}\nstore: \"" << addressOf(Store.Ip, StorePort)
         << "\"\nseeds: [" << Seeds << "]\nlisten:\n  callers: \""
         << addressOf(Node.Ip, Ingress) << "\"\n  readiness: \""
         << addressOf(Node.Ip, Readiness) << "\"\n  lookups: \""
@@ -718,23 +770,6 @@
            "  repeat_slack: 58\n  cold_overshoot: 1.5\n  cold_slack: 5\n"
            "  server_heartbeat: \"1500ms\"\n  grace_period: \"6s\"\n"
            "  lookup_ttl: \"5s\"\n";
-    const std::string Program = deployedProgram();
-    const std::string Log = Folder + "/" + Node.Name + ".log";
-    const std::string Root = repositoryRoot();
-    Node.Process = fork();
-    if (Node.Process != 0) {
-      record("%s starts at %s", Node.Name.c_str(), Node.Ip.c_str());
-      return;
-    }
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (chdir(Root.c_str()) != 0)
-      _exit(127);
-    const int Output = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    dup2(Output, STDOUT_FILENO);
-    dup2(Output, STDERR_FILENO);
-    setenv("AMARANTHHOIST_SETTINGS", File.c_str(), 1);
-    execl(Program.c_str(), Program.c_str(), static_cast<char *>(nullptr));
-    _exit(127);
   }
 
   void signal(node &Node, int Signal) {
@@ -774,6 +809,10 @@
   }
 
 private:
+  std::string settingsOf(const node &Node) const {
+    return Folder + "/" + Node.Name + ".yaml";
+  }
+
   std::string Folder;
 };
 
