--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -15,6 +15,12 @@
   return Body;
 }
 
+/// The head of an answer without a length.
+static std::string endlessHead(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Id +
+         "\r\nX-Response-Stamp: stamp-" + Id + "\r\nConnection: close\r\n\r\n";
+}
+
 /// The server's process. It answers an upload as soon as it has read the head.
 /// After half of the body it writes "half" to its output, and goes on when it
 /// reads a byte from its input.
@@ -36,17 +42,14 @@
     }
     const std::string Attempt = Request.field("x-attempt-id");
     if (Request.field("x-expected-instance") != Id) {
-      sendAll(Socket, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: " + Attempt +
-                          "\r\nContent-Length: 0\r\n\r\n");
+      sendAll(Socket, misdirectedText(Attempt));
       close(Socket);
       continue;
     }
     std::printf("runs %s\n", Attempt.c_str());
     std::fflush(stdout);
     const std::string Body = answerBody(Attempt);
-    const std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
-                             "\r\nX-Response-Stamp: stamp-" + Attempt +
-                             "\r\nConnection: close\r\n\r\n";
+    const std::string Head = endlessHead(Attempt);
     sendAll(Socket, Head + Body.substr(0, Body.size() / 2));
     std::printf("half %s\n", Attempt.c_str());
     std::fflush(stdout);
@@ -120,10 +123,10 @@
   fleet Fleet(std::map<std::string, std::string>{{"bag-a", "bagmati"}});
   const std::string ServerIp = ownIp(100);
   const int ServerPort = freePort(ServerIp);
-  Fleet.Store.put("config", "main",
-                  configurationText(
-                      5, {routeText("/hold/", "unsafe", "desk", "4000ms")},
-                      "desk"));
+  Fleet.Store.put(
+      "config", "main",
+      configurationText(5, {routeText("/hold/", "unsafe", "desk", "4000ms")},
+                        "desk"));
   Fleet.Store.start();
   node &Node = Fleet.add("front-bag-a-1", "bag-a");
   bool IsBroken = false;
@@ -132,9 +135,9 @@
     const std::string Server = "i-" + std::to_string(Upload);
     server_process Process =
         startServer(Arguments[0], ServerIp, ServerPort, Server);
-    Fleet.Store.put("servers", Server,
-                    serverText("desk", addressOf(ServerIp, ServerPort), "bag-a",
-                               6));
+    Fleet.Store.put(
+        "servers", Server,
+        serverText("desk", addressOf(ServerIp, ServerPort), "bag-a", 6));
     if (Node.Process == 0) {
       Fleet.start(Node);
       Fleet.waitReady(Node);
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -28,11 +28,7 @@
            Request.field("x-deadline-remaining").c_str());
     sleepFor(WorkTime);
     const std::string Body = answerBody(Id);
-    const bool IsSent = sendAll(
-        Socket, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Id +
-                    "\r\nX-Response-Stamp: stamp-" + Id +
-                    "\r\nContent-Length: " + std::to_string(Body.size()) +
-                    "\r\n\r\n" + Body);
+    const bool IsSent = sendAll(Socket, answerText(Id, Body));
     record("server answers %s%s", Id.c_str(), IsSent ? "" : ", nobody listens");
   }
   close(Socket);
@@ -100,7 +96,8 @@
   }
   if (hasTrouble()) {
     // As the platform does.
-    while (now() < TermAt + Grace && waitpid(Node.Process, nullptr, WNOHANG) == 0)
+    while (now() < TermAt + Grace &&
+           waitpid(Node.Process, nullptr, WNOHANG) == 0)
       sleepFor(0.01);
     record("the process has ended, %.2f s after the signal", now() - TermAt);
   }
@@ -111,7 +108,8 @@
     const message &Response = Request.Response;
     record("%s: status %d, %s, %.2f s after it was sent", Request.Id.c_str(),
            Response.status(),
-           Response.IsWhole ? "whole" : "the connection ended without an answer",
+           Response.IsWhole ? "whole"
+                            : "the connection ended without an answer",
            Request.EndedAt - Request.SentAt);
     Served += Response.status() == 200 && Response.IsWhole &&
                       Response.Body == answerBody(Request.Id)
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
 // Two machines are lost for good. Then the other machine of each one's zone is
-// restarted, one after the other: its directory names the lost machine to clients again, for longer
-// than it takes to be in touch.
+// restarted, one after the other: its directory names the lost machine to
+// clients again, for longer than it takes to be in touch.
 #include "../standin-2/standin.h"
 
 using namespace standin;
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -31,8 +31,8 @@
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
-#include <utility>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace standin {
@@ -131,7 +131,8 @@
 
 /// A port that is free on \p Ip, below the kernel's ephemeral range.
 inline int freePort(const std::string &Ip) {
-  static std::atomic<int> Next{10'000 + static_cast<int>(getpid() * 37 % 20'000)};
+  static std::atomic<int> Next{10'000 +
+                               static_cast<int>(getpid() * 37 % 20'000)};
   for (int Try = 0; Try < 20'000; ++Try) {
     const int Port = 10'000 + (Next++ - 10'000) % 22'000;
     const int Socket = bindOn(Ip, Port);
@@ -575,8 +576,9 @@
     if (Since.empty()) {
       for (const auto &[Each, Object] : Objects[Kind])
         Items += (Items.empty() ? "" : ",") + Object;
-      return "{\"items\":[" + Items + "],\"more\":false,\"at_revision\":" +
-             std::to_string(Revision) + "}";
+      return "{\"items\":[" + Items +
+             "],\"more\":false,\"at_revision\":" + std::to_string(Revision) +
+             "}";
     }
     const auto From = std::strtoull(Since.c_str(), nullptr, 10);
     const auto WaitMs = std::atoi(queryOf(Target, "wait_ms").c_str());
@@ -644,8 +646,9 @@
                               const std::string &Zone, int Slots,
                               const std::string &State = "ready") {
   return "{\"service\":\"" + Service + "\",\"address\":\"" + Address +
-         "\",\"zone\":\"" + Zone + "\",\"version\":\"v1\",\"slots\":" +
-         std::to_string(Slots) + ",\"state\":\"" + State +
+         "\",\"zone\":\"" + Zone +
+         "\",\"version\":\"v1\",\"slots\":" + std::to_string(Slots) +
+         ",\"state\":\"" + State +
          "\",\"warmup_remaining\":\"0ms\",\"sequence\":1}";
 }
 
@@ -816,6 +819,20 @@
   std::string Folder;
 };
 
+/// A server's answer to the request \p Id, with its stamp.
+inline std::string answerText(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Id +
+         "\r\nX-Response-Stamp: stamp-" + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+/// The answer of a server to a request that is meant for another one.
+inline std::string misdirectedText(const std::string &Id) {
+  return "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: " + Id +
+         "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 /// A request of a client.
 inline std::string requestText(const std::string &Method,
                                const std::string &Target, const std::string &Id,
