EventLoop: a reset is no regular end after a failed send

Callers saw: a server that answers an upload early, without a length, and crashes in the middle of its response. They got status 200 with the server's stamp and half of its body, with a Content-Length that fits that half.

Cause: while a part of the request is in the write buffer, stream::onEvent() sends before it reads. send() fails with ECONNRESET, which was ignored "since it is reported as a disconnect event". The kernel reports an error once: recv() then returns 0, and the stream reported a regular end. A response without a length is complete at the end of its stream.

Evidence: unit-tests -g ResponseEnd, 360 cells on real sockets (five framings, head, half, all but one byte or all of the response sent, end by FIN, by RST or by FIN and then RST, with and without unsent request, the end in the event of the response or later, with reading paused or not).

Change: stream keeps that the connection broke before the peer had finished, from the error of any send(), in write() as in flush(). EPIPE doesn't count: the kernel returns it if the peer's FIN came before the reset, or after another error.

Why it works: the error reaches the stream exactly once, by recv() or by send(); both are kept now. After a FIN all bytes of the response have arrived, so that the response is complete whatever follows.

--- a/Libraries/EventLoop/event_loop.cpp
+++ b/Libraries/EventLoop/event_loop.cpp
@@ -125,7 +125,8 @@
         continue;
       Registration.Handler->onEvent(
           {(Event.events & EPOLLIN) != 0, (Event.events & EPOLLOUT) != 0,
-           (Event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0});
+           (Event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0,
+           (Event.events & (EPOLLHUP | EPOLLERR)) != 0});
     }
     runTimers();
     for (const auto &Function : IterationCallbacks)
--- a/Libraries/EventLoop/event_loop.h
+++ b/Libraries/EventLoop/event_loop.h
@@ -20,6 +20,8 @@
   bool Writable = false;
   /// The peer closed the connection, or the connection failed.
   bool Disconnected = false;
+  /// The connection failed, or both sides are closed.
+  bool Failed = false;
 };
 
 /// Receives the events of one file descriptor. Events are edge-triggered: a
--- a/Libraries/EventLoop/stream.cpp
+++ b/Libraries/EventLoop/stream.cpp
@@ -48,6 +48,19 @@
     shutdown(Descriptor, SHUT_WR);
 }
 
+std::size_t stream::sendBytes(std::string_view Bytes) {
+  const ssize_t Count =
+      send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  if (Count >= 0)
+    return static_cast<std::size_t>(Count);
+  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
+    return 0;
+  // The kernel reports an error once, and the end of the stream from then on.
+  // EPIPE follows the end of the peer's stream, or the error kept here.
+  IsLost = IsLost || (errno != EPIPE && !HasPeerFinished);
+  return 0;
+}
+
 void stream::write(std::string_view Bytes) {
   if (Descriptor < 0)
     return;
@@ -55,10 +68,7 @@
     WriteBuffer.append(Bytes);
     return;
   }
-  const ssize_t Count =
-      send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
-  const std::size_t Accepted = Count > 0 ? static_cast<std::size_t>(Count) : 0;
-  // An error other than a full buffer is reported as a disconnect event.
+  const std::size_t Accepted = sendBytes(Bytes);
   if (Accepted < Bytes.size()) {
     WriteBuffer.assign(Bytes.substr(Accepted));
     WriteOffset = 0;
@@ -67,11 +77,11 @@
 
 void stream::flush() {
   while (pendingBytes() > 0) {
-    const ssize_t Count = send(Descriptor, WriteBuffer.data() + WriteOffset,
-                               pendingBytes(), MSG_NOSIGNAL);
-    if (Count <= 0)
+    const std::size_t Accepted =
+        sendBytes(std::string_view(WriteBuffer).substr(WriteOffset));
+    if (Accepted == 0)
       return;
-    WriteOffset += static_cast<std::size_t>(Count);
+    WriteOffset += Accepted;
   }
   const bool HadPendingBytes = !WriteBuffer.empty();
   WriteBuffer.clear();
@@ -106,7 +116,8 @@
     }
     const ssize_t Count = recv(Descriptor, Buffer.data(), Buffer.size(), 0);
     if (Count == 0) {
-      disconnect(disconnect_reason::Graceful);
+      disconnect(IsLost ? disconnect_reason::ConnectionLost
+                        : disconnect_reason::Graceful);
       return;
     }
     if (Count < 0) {
@@ -137,6 +148,8 @@
   }
   if (Event.Disconnected)
     PeerDisconnected = true;
+  if (Event.Disconnected && !Event.Failed)
+    HasPeerFinished = true;
   if (Event.Writable && pendingBytes() > 0)
     flush();
   if (Descriptor >= 0 && (Event.Readable || Event.Disconnected))
--- a/Libraries/EventLoop/stream.h
+++ b/Libraries/EventLoop/stream.h
@@ -71,6 +71,8 @@
 
 private:
   void readAll(bool UntilEof);
+  /// Returns the number of bytes that the kernel accepted.
+  std::size_t sendBytes(std::string_view Bytes);
   void flush();
   void disconnect(disconnect_reason Reason);
 
@@ -81,6 +83,10 @@
   bool IsReadingPaused = false;
   bool HasUnreadInput = false;
   bool PeerDisconnected = false;
+  /// The peer has finished its stream, and the connection was intact then.
+  bool HasPeerFinished = false;
+  /// The connection broke before the peer had finished its stream.
+  bool IsLost = false;
   bool ShutdownWhenFlushed = false;
   std::string WriteBuffer;
   std::size_t WriteOffset = 0;
