Tests: the scheduler's draws don't depend on the machine

Seen: both Golden tests fail on an aarch64 machine, on too: their sessions differ from the 657th millisecond on.

Cause: two delays of the scheduler are sums of two draws from one random engine. The order in which a sum's operands are evaluated is unspecified; g++ evaluates the right one first on x86-64, where the sessions were recorded, and the left one on aarch64. Ruled out: contraction to fused multiply-add (-ffp-contract=off changes nothing).

Change: the right operand is drawn first, in a statement of its own.

Measured, by a program of the same sources beside the build: both fail before, both pass after, with and without contraction, against the golden files as they are.

--- a/Tests/Scheduler/world.cpp
+++ b/Tests/Scheduler/world.cpp
@@ -23,10 +23,11 @@
   if (Lost || isCut(From, To))
     return;
   for (int Copy = 0; Copy < Copies; ++Copy) {
-    // A duplicate may arrive very late.
-    const duration Delay =
-        latency() + (Copy == 0 ? duration{} : milliseconds(draw(1'500)));
-    after(Delay, [this, From, To, Deliver] {
+    // A duplicate may arrive very late. The operands of a sum are evaluated in
+    // an order that depends on the machine.
+    const duration Lateness =
+        Copy == 0 ? duration{} : duration(milliseconds(draw(1'500)));
+    after(latency() + Lateness, [this, From, To, Deliver] {
       if (!isCut(From, To))
         Deliver();
     });
@@ -112,7 +113,8 @@
           const pool_record Seen = Pool.Record;
           const int Number = Process.Number;
           const std::int64_t Incarnation = Process.Incarnation;
-          after(latency() + milliseconds(draw(100)), [=, this] {
+          const duration Lateness = milliseconds(draw(100));
+          after(latency() + Lateness, [=, this] {
             onGateway(Number, Incarnation,
                       [=, this] { stepNode(Number, record_received{Seen}); });
           });
