Node: a shutdown follows the timeouts in force

Callers saw: requests that they had sent later than half of the grace period after the SIGTERM, with time left, ended with a closed connection while their server worked on them. They may run once only, so the callers can't send them again.

Cause: beginShutdown() worked out once from when on requests are refused, from the longest timeout at that moment. A configuration with a longer one that is applied later lets requests in with deadlines beyond the end of the process. A node without a configuration at the signal counted with a timeout of 0.

Change: Libraries/Shutdown holds the schedule (start, grace period in force at the signal) and works out the time from the longest timeout; the node asks it at each request and each check for idle connections.

Why it works: a request's deadline is planned in the same call that asks whether it is refused, from the same configuration; no value is kept that a change could outdate.

--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -32,9 +32,6 @@
 /// Minimum time a node keeps running during shutdown, so that callers with
 /// older look-ups reach it.
 static constexpr duration MinShutdownTime = std::chrono::milliseconds(3'200);
-/// All work must be finished this long before the end of the grace period, when
-/// the process is killed.
-static constexpr duration ShutdownMargin = std::chrono::milliseconds(350);
 static constexpr duration ShutdownCheckPeriod = std::chrono::milliseconds(50);
 
 /// Write end of the pipe that forwards signals to the event loop.
@@ -217,24 +214,17 @@
       return;
     Node.IsShuttingDown = true;
     Node.Fleet.OwnIsShuttingDown = true;
-    ShutdownStartedAt = Node.Loop.now();
-    const duration Grace = Node.Settings.Bounds.GracePeriod;
-    // A request accepted later could be cut off by the end of the process.
-    Node.RefusesNewRequestsFrom =
-        ShutdownStartedAt +
-        std::max(Grace / 2,
-                 Grace - ShutdownMargin - longestTimeout(Node.Steering));
+    Node.Shutdown = {Node.Loop.now(), Node.Settings.Bounds.GracePeriod};
     Peers.leave();
-    Node.Log.write(log_kind::Process, "leaving", {}, ShutdownStartedAt);
-    Node.Loop.runEvery(ShutdownCheckPeriod,
-                       [this, Grace] { checkShutdown(Grace); });
+    Node.Log.write(log_kind::Process, "leaving", {}, Node.Loop.now());
+    Node.Loop.runEvery(ShutdownCheckPeriod, [this] { checkShutdown(); });
   }
 
-  void checkShutdown(duration Grace) {
-    const duration Passed = Node.Loop.now() - ShutdownStartedAt;
-    const bool IsOver = Passed >= MinShutdownTime && !Callers.isBusy() &&
-                        !ForwardingPeers.isBusy();
-    if (IsOver || Passed >= Grace - ShutdownMargin) {
+  void checkShutdown() {
+    const instant Now = Node.Loop.now();
+    const bool IsOver = Now >= Node.Shutdown.StartedAt + MinShutdownTime &&
+                        !Callers.isBusy() && !ForwardingPeers.isBusy();
+    if (IsOver || Now >= processEnd(Node.Shutdown)) {
       Callers.stopListening();
       ForwardingPeers.stopListening();
       Callers.logAborted();
@@ -242,7 +232,7 @@
       Node.Loop.stop();
       return;
     }
-    if (Node.Loop.now() >= Node.RefusesNewRequestsFrom)
+    if (Node.refusesNewRequests())
       Callers.closeIdleConnections();
   }
 
@@ -261,7 +251,6 @@
   small_server Readiness;
   small_server MetricsServer;
   int SignalSource = -1;
-  instant ShutdownStartedAt{};
 };
 
 static int serve(const std::string &SettingsFile) {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -9,6 +9,7 @@
 #include "HttpConnection/client_connection.h"
 #include "Metrics/metrics.h"
 #include "NodeSettings/node_settings.h"
+#include "Shutdown/shutdown.h"
 #include "StateSpread/configuration_lag.h"
 #include "StateSpread/watch_duty.h"
 #include "Steering/steering.h"
@@ -104,8 +105,8 @@
   /// SIGTERM was received: the node finishes the requests in flight and shuts
   /// down.
   bool IsShuttingDown = false;
-  /// From this time on a node that shuts down refuses new requests.
-  instant RefusesNewRequestsFrom{};
+  /// Set when the shutdown begins.
+  shutdown_schedule Shutdown;
   /// Bytes of request bodies buffered for all callers together.
   std::size_t BufferedBodyBytes = 0;
 
@@ -119,9 +120,11 @@
            (!HasFullState || StateAge() > StaleStateAge);
   }
   /// Returns whether the node is shutting down and may not finish another
-  /// request in time.
+  /// request in time, with the timeouts now in force.
   [[nodiscard]] bool refusesNewRequests() const {
-    return IsShuttingDown && Loop.now() >= RefusesNewRequestsFrom;
+    return IsShuttingDown &&
+           Loop.now() >=
+               refusesRequestsFrom(Shutdown, longestTimeout(Steering));
   }
 };
 
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -153,6 +153,8 @@
       continue;
     json &Route = Resource["specification"];
     Route["public"] = Route["path_prefix"] == "/open/";
+    if (!RouteTimeout.empty())
+      Route["timeout"] = RouteTimeout;
     if (!RouteRegions.empty())
       Route["home_regions"] = RouteRegions;
   }
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -90,6 +90,8 @@
   std::map<std::string, nlohmann::json> Accounts;
   /// Routes /other/ (idempotent) to service "other".
   bool HasOtherService = false;
+  /// Timeout of all routes; empty: each route's own.
+  std::string RouteTimeout;
   /// Home regions of all routes.
   std::vector<std::string> RouteRegions;
   /// Requests beyond its limit that an account may make in the window.
