Membership: a lost instance is noticed in time, and a restarted one learns of it

Callers saw: look-ups at an instance that had restarted named others that were lost long before, for up to 10 s after its start; and without any restart, look-ups of small fleets named an instance without power for 2.3 s (p50) to 7 s (p99).

Causes, of one symptom: (1) a status is sent a limited number of times after its change, and new members count as up, so that nobody tells an instance that starts or returns from a cut what it missed. (2) Isolation was inferred from 450 ms without messages. In a small fleet a message comes every quarter of a second on average, so the probe that gets no ack makes its sender count as isolated, and it takes the suspicion back. (3) The time until someone probes a lost member was random, with an exponential tail.

Change: a missing ack is judged only while in contact with others, which are asked for an ack at once, of several failure domains; an instance is isolated if none responds in two rounds. The node probes its successor on a ring of hashed names once a period. It asks others for the statuses it missed, and names only whom it heard until the first response.

Why it works: one response from anybody disproves isolation, however small the fleet is; a ring leaves no member unprobed for longer than a period; a response with statuses comes within a round trip, before the instance's own view is used.

--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -39,8 +39,10 @@
   members Members;
   if (Fleet.OwnIsReady && Matches(Fleet.Own))
     Members.push_back(&Fleet.Own);
+  // An instance that isn't ready doesn't learn yet who is lost.
+  const auto IsUsable = Fleet.OwnIsReady ? isKnownUp : isUp;
   for (const auto &[Name, Member] : Fleet.Members)
-    if (Matches(Member) && isUp(Fleet.Membership, Name))
+    if (Matches(Member) && IsUsable(Fleet.Membership, Name))
       Members.push_back(&Member);
   return Members;
 }
--- a/Libraries/Membership/member_status.cpp
+++ b/Libraries/Membership/member_status.cpp
@@ -79,7 +79,7 @@
                            const member_state &Member, evidence Evidence,
                            instant Now) {
   const membership_policy &Policy = Membership.Policy;
-  if (Evidence == evidence::Own || isCorrelated(Membership, Member)) {
+  if (Evidence != evidence::Received || isCorrelated(Membership, Member)) {
     setUp(Membership, Name, false);
     Membership.Suspected[Name] = {Now, Now};
     // Messages about others of its domain may have been lost.
@@ -172,42 +172,17 @@
   }
 }
 
-/// Considers the members up again that didn't respond while this instance was
-/// cut off, and probes each of them: most are likely to be alive.
-static void endIsolation(membership &Membership, instant Now) {
-  Membership.IsIsolated = false;
-  // Probes sent while it was cut off say nothing about their subjects.
-  Membership.Probe = {};
-  Membership.FollowUps.clear();
-  for (auto &[FailureDomain, Group] : Membership.Groups)
-    Group.FollowUpsLeft = 0;
-  for (auto &[Name, Member] : Membership.Members) {
-    if (!Member.IsSuspectedInIsolation)
-      continue;
-    setStatus(Membership, Name, Member, member_status::Up, evidence::Own, Now);
-    // Nobody has this suspicion, so nobody needs to learn of its end.
-    setTransmissions(Membership, Name, Member, 0);
-    Membership.Suspected[Name] = {Now, std::nullopt};
-  }
+void withdrawSuspicion(membership &Membership, const std::string &Name,
+                       member_state &Member, instant Now) {
+  setStatus(Membership, Name, Member, member_status::Up, evidence::Own, Now);
+  setTransmissions(Membership, Name, Member, 0);
+  Membership.Suspected[Name] = {Now, std::nullopt};
 }
 
-void recordMessage(membership &Membership, const std::string &From,
-                   instant Now) {
-  auto Member = Membership.Members.find(From);
-  if (Member == Membership.Members.end())
-    return;
-  Member->second.LastHeard = Now;
-  Membership.LastHeard = Now;
-  if (Membership.IsIsolated)
-    endIsolation(Membership, Now);
-}
-
-void updateIsolation(membership &Membership, instant Now) {
-  if (!Membership.LastHeard)
-    Membership.LastHeard = Now;
-  Membership.IsIsolated =
-      !Membership.Members.empty() &&
-      Now >= *Membership.LastHeard + Membership.Policy.IsolationTime;
+void stopSpreading(membership &Membership, const std::string &Name) {
+  const auto Member = Membership.Members.find(Name);
+  if (Member != Membership.Members.end())
+    setTransmissions(Membership, Name, Member->second, 0);
 }
 
 } // namespace amaranthhoist
--- a/Libraries/Membership/member_status.h
+++ b/Libraries/Membership/member_status.h
@@ -6,8 +6,16 @@
 
 namespace amaranthhoist {
 
-/// Whether a status rests on probes of this instance, or on another's message.
-enum class evidence : std::uint8_t { Own, Received };
+/// What a status rests on.
+enum class evidence : std::uint8_t {
+  /// Probes of this instance.
+  Own,
+  /// Another's message.
+  Received,
+  /// Another's message about a member that doesn't count as up there, after it
+  /// verified that.
+  Verified,
+};
 
 /// Returns whether so many members of \p Member's failure domain are suspected
 /// that the domain as a whole has probably failed.
@@ -36,11 +44,12 @@
 /// Marks members down whose suspicion has lasted too long.
 void expireSuspicions(membership &Membership, instant Now);
 
-/// Records that a message from \p From arrived, which ends an isolation.
-void recordMessage(membership &Membership, const std::string &From,
-                   instant Now);
+/// Considers \p Name up again, which was suspected without anybody else's
+/// knowledge, and probes it.
+void withdrawSuspicion(membership &Membership, const std::string &Name,
+                       member_state &Member, instant Now);
 
-/// Finds out whether this instance is cut off from all members.
-void updateIsolation(membership &Membership, instant Now);
+/// Ends the spread of \p Name's status by this instance.
+void stopSpreading(membership &Membership, const std::string &Name);
 
 } // namespace amaranthhoist
--- a/Libraries/Membership/member_updates.cpp
+++ b/Libraries/Membership/member_updates.cpp
@@ -57,7 +57,8 @@
 }
 
 static void applyUpdate(membership &Membership, const std::string &Name,
-                        const hashed_update &Update, instant Now) {
+                        const hashed_update &Update, evidence Evidence,
+                        instant Now) {
   auto Own = Membership.Own.find(Name);
   if (Own != Membership.Own.end()) {
     refute(Membership, Own->second, Update);
@@ -81,18 +82,24 @@
     setStatus(Membership, Name, Member, member_status::Up, evidence::Own, Now);
     return;
   }
-  setStatus(Membership, Name, Member, Update.Status, evidence::Received, Now);
+  setStatus(Membership, Name, Member, Update.Status, Evidence, Now);
 }
 
 void applyUpdates(membership &Membership, const membership_message &Message,
                   instant Now) {
+  const evidence Evidence =
+      Message.HasStatuses ? evidence::Verified : evidence::Received;
   for (const member_update &Update : Message.Updates)
     applyUpdate(Membership, Update.Name, {0, Update.Status, Update.Incarnation},
-                Now);
+                Evidence, Now);
   for (const hashed_update &Update : Message.HashedUpdates) {
     const auto Name = Membership.NamesByHash.find(Update.NameHash);
-    if (Name != Membership.NamesByHash.end())
-      applyUpdate(Membership, Name->second, Update, Now);
+    if (Name == Membership.NamesByHash.end())
+      continue;
+    applyUpdate(Membership, Name->second, Update, Evidence, Now);
+    // The others have these statuses already.
+    if (Message.HasStatuses)
+      stopSpreading(Membership, Name->second);
   }
 }
 
--- a/Libraries/Membership/membership.cpp
+++ b/Libraries/Membership/membership.cpp
@@ -1,8 +1,10 @@
 #include "Membership/membership.h"
 
+#include "contact.h"
 #include "member_status.h"
 #include "member_updates.h"
 #include "probes.h"
+#include "status_transfer.h"
 
 #include <algorithm>
 #include <bit>
@@ -17,6 +19,7 @@
   ++Membership.Version;
   Membership.Names.clear();
   Membership.NamesByHash.clear();
+  Membership.Ring.clear();
   for (auto &[FailureDomain, Group] : Membership.Groups) {
     Group.Names.clear();
     Group.Suspects = 0;
@@ -26,12 +29,14 @@
   for (const auto &[Name, Member] : Membership.Members) {
     Membership.Names.push_back(Name);
     Membership.NamesByHash.emplace(stableHash(Name), Name);
+    Membership.Ring.emplace_back(stableHash(Name), Name);
     if (Member.FailureDomain.empty())
       continue;
     member_group &Group = Membership.Groups[Member.FailureDomain];
     Group.Names.push_back(Name);
     Group.Suspects += Member.Status == member_status::Suspect ? 1 : 0;
   }
+  std::sort(Membership.Ring.begin(), Membership.Ring.end());
   std::erase_if(Membership.Groups,
                 [](const auto &Group) { return Group.second.Names.empty(); });
   for (auto &[FailureDomain, Group] : Membership.Groups)
@@ -105,12 +110,26 @@
   return Membership.Members.contains(Name) && !Membership.NotUp.contains(Name);
 }
 
+bool isKnownUp(const membership &Membership, const std::string &Name) {
+  if (!isUp(Membership, Name))
+    return false;
+  if (!Membership.Policy.RequestsStatuses || Membership.HasView)
+    return true;
+  const auto Member = Membership.Members.find(Name);
+  return Member == Membership.Members.end() ||
+         Member->second.LastHeard.has_value();
+}
+
 messages handleMembershipMessage(membership &Membership,
                                  const std::string &From,
                                  const membership_message &Message,
                                  instant Now) {
   recordMessage(Membership, From, Now);
   applyUpdates(Membership, Message, Now);
+  if (Message.HasStatuses)
+    recordStatusResponse(Membership, From, Now);
+  if (Message.RequestsStatuses)
+    return makeStatusResponse(Membership, From, Now);
   switch (Message.Kind) {
   case kind::Ping:
     recordResponse(Membership, From, Now);
@@ -139,8 +158,10 @@
   updateIsolation(Membership, Now);
   expireSuspicions(Membership, Now);
   recheckSuspected(Membership, Now, Messages);
-  runRegularProbe(Membership, Now, Messages);
+  runProbes(Membership, Now, Messages);
   runFollowUps(Membership, Now, Messages);
+  sendContactProbes(Membership, Messages);
+  requestStatuses(Membership, Now, Messages);
   // Last, so that what the others found out is sent at once.
   gossipUpdates(Membership, Messages);
   return Messages;
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -20,8 +20,18 @@
 /// members of a domain are suspected, received suspicions of others take effect
 /// without being verified first. See docs/design/mass-failures.md.
 ///
-/// An instance that receives nothing from any member is itself cut off: its
-/// suspicions are not sent, and end when it receives a message again.
+/// A missing ack is judged only by an instance that is in contact with others.
+/// One that has just received nothing asks several members of different failure
+/// domains for an ack at once: any of them shows that it is not cut off. If
+/// none responds it is, and its suspicions are not sent, and end when it
+/// receives a message again. See docs/design/loss-detection.md.
+///
+/// If the policy says so, each member is also probed at regular intervals by
+/// its predecessor in the order of hashed names: a loss is found within one
+/// period, while random probes alone may miss it for several.
+///
+/// An instance that starts, or was silent for a while, asks a few members for
+/// the statuses that it missed.
 ///
 /// A suspicion only reduces the use of a member: nothing here returns units or
 /// ends a key. Sans-I/O.
@@ -75,6 +85,10 @@
   std::vector<member_update> Updates;
   /// Further updates, of other members than Updates.
   std::vector<hashed_update> HashedUpdates;
+  /// Asks for the statuses of all members that are not up.
+  bool RequestsStatuses = false;
+  /// The updates are such statuses.
+  bool HasStatuses = false;
 };
 
 /// To is a member; for responses it is the sender of the message.
@@ -86,6 +100,8 @@
 /// Parameters of the failure detector.
 struct membership_policy {
   duration ProbePeriod = std::chrono::seconds(1);
+  /// Whether each period also has a probe of the instance's successor.
+  bool ProbesSuccessor = false;
   duration AckTimeout = std::chrono::milliseconds(300);
   duration SuspicionTimeout = std::chrono::seconds(3);
   std::size_t IndirectProbes = 2;
@@ -123,9 +139,16 @@
   std::size_t MembersPerCorrelatedFailure = 8;
   std::size_t MinCorrelatedFailures = 3;
   std::size_t MaxCorrelatedFailures = 8;
-  /// An instance that has received nothing for this long counts as cut off.
-  /// Less than the time until it suspects a member, twice the AckTimeout.
-  duration IsolationTime = std::chrono::milliseconds(450);
+  /// Members that an instance asks for an ack to find out whether it is cut
+  /// off; twice as many in the second round, and so on.
+  std::size_t ContactProbes = 3;
+  /// Rounds, each an AckTimeout, after which it counts as cut off.
+  std::size_t ContactRounds = 2;
+  /// An instance that received nothing for this long has missed updates.
+  duration MissedUpdatesTime = std::chrono::seconds(1);
+  /// Whether an instance that starts asks others for the statuses of members;
+  /// they respond if their messages can carry them.
+  bool RequestsStatuses = false;
 };
 
 struct member_state {
@@ -176,6 +199,27 @@
   bool Indirect = false;
 };
 
+/// The search for a member that sends an ack, while none of the last probes got
+/// one.
+struct contact_check {
+  /// The member whose ack is missing. It isn't asked.
+  std::string Subject;
+  instant SentAt{};
+  std::size_t Rounds = 0;
+  /// Probes still to be sent in this round.
+  std::size_t ProbesLeft = 0;
+};
+
+/// The requests for statuses that this instance missed.
+struct status_transfer {
+  bool IsInProgress = true;
+  std::optional<instant> StartedAt;
+  /// Members that are still to be asked, after the first choice of them.
+  std::vector<std::string> Unasked;
+  bool HasAsked = false;
+  std::size_t Responses = 0;
+};
+
 struct membership {
   /// The members that this control responds for: itself and its instance's
   /// daemons that are alive.
@@ -207,6 +251,12 @@
   std::vector<std::string> Round;
   active_probe Probe;
   instant NextProbe{};
+  /// The probe of the next member in the order of Ring, and the time of the
+  /// next one.
+  active_probe SuccessorProbe;
+  instant NextSuccessorProbe{};
+  /// The members by the hash of their names.
+  std::vector<std::pair<std::uint64_t, std::string>> Ring;
   /// Failure domains in which follow-up probes are to be sent.
   std::deque<std::string> FollowUpDomains;
   /// Follow-up probes in progress, by subject: when they were sent.
@@ -214,6 +264,11 @@
   /// Time of the last message from any member; none before the first tick.
   std::optional<instant> LastHeard;
   bool IsIsolated = false;
+  std::optional<contact_check> ContactCheck;
+  status_transfer Transfer;
+  /// Whether this instance has had the statuses of members from others, or has
+  /// asked for them in vain.
+  bool HasView = false;
 };
 
 /// Sets the members of the fleet; own members may be included. New members
@@ -232,7 +287,8 @@
 /// Returns the number of messages that carry a changed status.
 int transmissionsPerUpdate(const membership &Membership);
 
-/// Sends probes, escalates unanswered ones and expires suspicions.
+/// Sends probes, escalates unanswered ones and expires suspicions. Asks for
+/// statuses that were missed.
 std::vector<outgoing_membership_message> membershipTick(membership &Membership,
                                                         instant Now);
 
@@ -248,4 +304,8 @@
 /// suspected or down.
 bool isUp(const membership &Membership, const std::string &Name);
 
+/// Returns whether \p Name may be named to callers: it is up, and if this
+/// instance has yet to learn who is not, it has heard from it.
+bool isKnownUp(const membership &Membership, const std::string &Name);
+
 } // namespace amaranthhoist
--- a/Libraries/Membership/probes.cpp
+++ b/Libraries/Membership/probes.cpp
@@ -1,5 +1,6 @@
 #include "probes.h"
 
+#include "contact.h"
 #include "member_status.h"
 #include "member_updates.h"
 
@@ -67,14 +68,14 @@
         makeMessage(Membership, Helper, kind::IndirectPing, Subject, {}));
 }
 
-static void escalateProbe(membership &Membership, instant Now,
-                          messages &Messages) {
-  active_probe &Probe = Membership.Probe;
+static void escalateProbe(membership &Membership, active_probe &Probe,
+                          instant Now, messages &Messages) {
   if (Probe.Subject.empty() || Now < Probe.Sent + Membership.Policy.AckTimeout)
     return;
   if (!Probe.Indirect) {
     Probe.Indirect = true;
     Probe.Sent = Now;
+    askForContact(Membership, Probe.Subject, Now);
     sendIndirectProbes(Membership, Probe.Subject, Messages);
     const auto Member = Membership.Members.find(Probe.Subject);
     if (Member != Membership.Members.end() &&
@@ -82,25 +83,77 @@
       planFollowUps(Membership, Probe.Subject);
     return;
   }
+  if (!mayJudge(Membership, Probe.Subject, Now))
+    return;
   recordMissingResponse(Membership, Probe.Subject, Now);
   Probe = {};
 }
 
-void runRegularProbe(membership &Membership, instant Now, messages &Messages) {
-  escalateProbe(Membership, Now, Messages);
-  if (Now < Membership.NextProbe || !Membership.Probe.Subject.empty())
-    return;
-  Membership.NextProbe = Now + Membership.Policy.ProbePeriod;
-  const std::string Subject = nextProbeSubject(Membership);
+static void startProbe(membership &Membership, active_probe &Probe,
+                       const std::string &Subject, instant Now,
+                       messages &Messages) {
   if (Subject.empty())
     return;
-  Membership.Probe = {Subject, Now, false};
+  Probe = {Subject, Now, false};
   Messages.push_back(makeMessage(Membership, Subject, kind::Ping, Subject, {}));
 }
 
+/// Returns the next member on the ring that is up; empty if there is none.
+static std::string findSuccessor(const membership &Membership) {
+  if (Membership.Own.empty())
+    return {};
+  const auto &Ring = Membership.Ring;
+  const std::uint64_t OwnHash = stableHash(Membership.Own.begin()->first);
+  const auto First = std::upper_bound(
+      Ring.begin(), Ring.end(), OwnHash,
+      [](std::uint64_t Hash, const auto &Entry) { return Hash < Entry.first; });
+  const auto Offset = static_cast<std::size_t>(First - Ring.begin());
+  for (std::size_t Visited = 0; Visited < Ring.size(); ++Visited) {
+    const std::string &Name = Ring[(Offset + Visited) % Ring.size()].second;
+    if (Membership.Members.at(Name).Status == member_status::Up)
+      return Name;
+  }
+  return {};
+}
+
+static void runSuccessorProbe(membership &Membership, instant Now,
+                              messages &Messages) {
+  escalateProbe(Membership, Membership.SuccessorProbe, Now, Messages);
+  if (!Membership.Policy.ProbesSuccessor ||
+      Now < Membership.NextSuccessorProbe ||
+      !Membership.SuccessorProbe.Subject.empty())
+    return;
+  Membership.NextSuccessorProbe = Now + Membership.Policy.ProbePeriod;
+  startProbe(Membership, Membership.SuccessorProbe, findSuccessor(Membership),
+             Now, Messages);
+}
+
+static void runRandomProbe(membership &Membership, instant Now,
+                           messages &Messages) {
+  escalateProbe(Membership, Membership.Probe, Now, Messages);
+  if (Now < Membership.NextProbe || !Membership.Probe.Subject.empty())
+    return;
+  Membership.NextProbe = Now + Membership.Policy.ProbePeriod;
+  startProbe(Membership, Membership.Probe, nextProbeSubject(Membership), Now,
+             Messages);
+}
+
+void runProbes(membership &Membership, instant Now, messages &Messages) {
+  runRandomProbe(Membership, Now, Messages);
+  runSuccessorProbe(Membership, Now, Messages);
+}
+
 static void expireFollowUps(membership &Membership, instant Now) {
+  const auto IsDue = [&](const auto &Entry) {
+    return Now >= Entry.second + Membership.Policy.AckTimeout;
+  };
+  const auto Due = std::find_if(Membership.FollowUps.begin(),
+                                Membership.FollowUps.end(), IsDue);
+  if (Due == Membership.FollowUps.end() ||
+      !mayJudge(Membership, Due->first, Now))
+    return;
   std::erase_if(Membership.FollowUps, [&](const auto &Entry) {
-    if (Now < Entry.second + Membership.Policy.AckTimeout)
+    if (!IsDue(Entry))
       return false;
     recordMissingResponse(Membership, Entry.first, Now);
     planFollowUps(Membership, Entry.first);
@@ -157,8 +210,9 @@
 }
 
 void endProbe(membership &Membership, const std::string &Subject) {
-  if (Membership.Probe.Subject == Subject)
-    Membership.Probe = {};
+  for (active_probe *Probe : {&Membership.Probe, &Membership.SuccessorProbe})
+    if (Probe->Subject == Subject)
+      *Probe = {};
   Membership.FollowUps.erase(Subject);
 }
 
@@ -186,6 +240,8 @@
   if (!IsVerified &&
       (Member.Status == member_status::Up || !isCorrelated(Membership, Member)))
     return;
+  if (!mayJudge(Membership, Name, Now))
+    return;
   setUp(Membership, Name, false);
   recordMissingResponse(Membership, Name, Now);
 }
--- a/Libraries/Membership/probes.h
+++ b/Libraries/Membership/probes.h
@@ -24,9 +24,10 @@
 /// and as long until all have its refutation.
 void gossipUpdates(membership &Membership, membership_messages &Messages);
 
-/// Escalates the regular probe when it gets no response, and starts the next.
-void runRegularProbe(membership &Membership, instant Now,
-                     membership_messages &Messages);
+/// Escalates the probes that get no response, and starts the next ones: of a
+/// random member, and of this instance's successor.
+void runProbes(membership &Membership, instant Now,
+               membership_messages &Messages);
 
 /// Sends the probes that follow failures, and suspects whoever didn't respond
 /// to earlier ones.
--- a/Libraries/PeerMessages/peer_messages.capnp
+++ b/Libraries/PeerMessages/peer_messages.capnp
@@ -61,6 +61,10 @@
   configurationVersion @10 :Int64;
   # Instances of earlier builds ignore them.
   hashedBeliefs @11 :List(HashedBelief);
+  # The sender asks for the statuses of all members that are not up, or the
+  # beliefs are such statuses. Instances of earlier builds do neither.
+  requestsStatuses @12 :Bool;
+  hasStatuses @13 :Bool;
 }
 
 struct ObjectChange {
--- a/Libraries/PeerMessages/peer_messages.capnp.h
+++ b/Libraries/PeerMessages/peer_messages.capnp.h
@@ -711,6 +711,10 @@
   inline bool hasHashedBeliefs() const;
   inline  ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>::Reader getHashedBeliefs() const;
 
+  inline bool getRequestsStatuses() const;
+
+  inline bool getHasStatuses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -811,6 +815,12 @@
   inline void adoptHashedBeliefs(::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranthhoist::datagram::HashedBelief,  ::capnp::Kind::STRUCT>> disownHashedBeliefs();
 
+  inline bool getRequestsStatuses();
+  inline void setRequestsStatuses(bool value);
+
+  inline bool getHasStatuses();
+  inline void setHasStatuses(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1934,6 +1944,34 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::getRequestsStatuses() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getRequestsStatuses() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setRequestsStatuses(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::getHasStatuses() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getHasStatuses() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setHasStatuses(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ObjectChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/PeerMessages/peer_messages.cpp
+++ b/Libraries/PeerMessages/peer_messages.cpp
@@ -82,6 +82,8 @@
   Root.setKind(static_cast<std::uint8_t>(Message.Kind));
   Root.setSubject(Message.Subject);
   Root.setOnBehalfOf(Message.OnBehalfOf);
+  Root.setRequestsStatuses(Message.RequestsStatuses);
+  Root.setHasStatuses(Message.HasStatuses);
   auto Beliefs =
       Root.initBeliefs(static_cast<unsigned>(Message.Updates.size()));
   for (unsigned Index = 0; Index < Beliefs.size(); ++Index) {
@@ -157,6 +159,8 @@
   Message.Kind = static_cast<membership_message::kind>(Kind);
   Message.Subject = Root.getSubject().cStr();
   Message.OnBehalfOf = Root.getOnBehalfOf().cStr();
+  Message.RequestsStatuses = Root.getRequestsStatuses();
+  Message.HasStatuses = Root.getHasStatuses();
   for (const auto Belief : Root.getBeliefs()) {
     const auto Status = readStatus(Belief.getStatus());
     if (!Status)
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -32,6 +32,8 @@
   Policy.ProbePeriod = std::chrono::milliseconds(500);
   Policy.MaxUpdatesPerMessage = MaxNamedUpdates;
   Policy.MaxHashedUpdatesPerMessage = MaxHashedUpdates;
+  Policy.ProbesSuccessor = true;
+  Policy.RequestsStatuses = true;
   Node.Fleet.Membership.Random.seed(stableHash(Node.Settings.Instance));
   setOwnMembers(Node.Fleet.Membership, {Node.Settings.Instance});
   Node.Loop.runEvery(TickPeriod, [this] { tick(); });
--- a/Tests/lossy_fleet.cpp
+++ b/Tests/lossy_fleet.cpp
@@ -9,7 +9,8 @@
 std::string nameOf(std::size_t Index) { return "n" + std::to_string(Index); }
 
 lossy_fleet::lossy_fleet(const lossy_fleet_options &Options)
-    : Options(Options), Members(Options.Instances), IsDead(Options.Instances) {
+    : Options(Options), Members(Options.Instances), IsDead(Options.Instances),
+      Random(11 + Options.Seed) {
   for (std::size_t Index = 0; Index < Options.Instances; ++Index) {
     FailureDomains[nameOf(Index)] =
         "domain" + std::to_string(Index % Options.FailureDomains);
@@ -24,7 +25,9 @@
   Member.Policy.ProbePeriod = milliseconds(500);
   Member.Policy.MaxUpdatesPerMessage = 12;
   Member.Policy.MaxHashedUpdatesPerMessage = 42;
-  Member.Random.seed(stableHash(nameOf(Index)));
+  Member.Policy.ProbesSuccessor = true;
+  Member.Policy.RequestsStatuses = true;
+  Member.Random.seed(stableHash(nameOf(Index)) + Options.Seed);
   setOwnMembers(Member, {nameOf(Index)});
   setMembersWithDomains(Member, FailureDomains);
 }
--- a/Tests/lossy_fleet.h
+++ b/Tests/lossy_fleet.h
@@ -25,6 +25,8 @@
   std::size_t Regions = 1;
   /// Probability that a datagram is lost, whatever its sender and receiver.
   double Loss = 0;
+  /// Seeds what the instances draw, and which datagrams are lost.
+  std::uint64_t Seed = 0;
 };
 
 /// Memberships that exchange datagrams. Instance n is in failure domain n
@@ -79,7 +81,7 @@
   std::set<std::string> EverKilled;
   duration LongestFalseDown{};
   instant Now{std::chrono::seconds(100)};
-  std::mt19937_64 Random{11};
+  std::mt19937_64 Random;
 };
 
 } // namespace amaranthhoist
--- a/Tests/response_end_test.cpp
+++ b/Tests/response_end_test.cpp
@@ -116,7 +116,9 @@
     Body.clear();
   }
   void onComplete() override { IsCompleted = true; }
-  void onFailure(const call_failure & /*Failure*/) override { HasFailed = true; }
+  void onFailure(const call_failure & /*Failure*/) override {
+    HasFailed = true;
+  }
   [[nodiscard]] bool hasEnded() const { return IsCompleted || HasFailed; }
 
   bool HasHead = false;
@@ -173,9 +175,8 @@
               send(Server, Response.data(), Response.size(), MSG_NOSIGNAL));
   if (!Case.ArrivesAtOnce && !Case.IsPaused)
     runUntil(Loop, [&] {
-      return Owner.hasEnded() ||
-             (Owner.HasHead &&
-              (Case.Sent == bytes::Head || Owner.BodyBytes > 0));
+      return Owner.hasEnded() || (Owner.HasHead && (Case.Sent == bytes::Head ||
+                                                    Owner.BodyBytes > 0));
     });
   endConnection(Server, Case.Ending);
   if (Case.IsPaused) {
