Membership: successors are of the same failure domain, and an isolation is logged

Cause: with the ring in the order of hashed names two of three probes of successors go to another region.

Change: the ring is ordered by failure domain first. Isolation is logged (isolated_from_peers, peers_heard_again), and some names say more: mayJudgeMissingAck, startContactCheck.

--- a/Libraries/Fleet/fleet.cpp
+++ b/Libraries/Fleet/fleet.cpp
@@ -140,7 +140,8 @@
 
 void setFleet(fleet &Fleet, std::vector<fleet_member> Members) {
   std::map<std::string, fleet_member> Next;
-  std::map<std::string, std::string> FailureDomains;
+  std::map<std::string, std::string> FailureDomains = {
+      {Fleet.Own.Name, Fleet.Own.FailureDomain}};
   for (fleet_member &Member : Members) {
     if (Member.Name == Fleet.Own.Name)
       continue;
--- a/Libraries/Membership/contact.cpp
+++ b/Libraries/Membership/contact.cpp
@@ -21,8 +21,8 @@
   Check.ProbesLeft = Membership.Policy.ContactProbes * Check.Rounds;
 }
 
-void askForContact(membership &Membership, const std::string &Subject,
-                   instant Now) {
+void startContactCheck(membership &Membership, const std::string &Subject,
+                       instant Now) {
   if (Membership.ContactCheck || Membership.IsIsolated)
     return;
   Membership.ContactCheck = contact_check{};
@@ -30,51 +30,52 @@
   startRound(Membership, *Membership.ContactCheck, Now);
 }
 
-bool mayJudge(membership &Membership, const std::string &Subject, instant Now) {
+bool mayJudgeMissingAck(membership &Membership, const std::string &Subject,
+                        instant Now) {
   if (Membership.IsIsolated)
     return true;
   const bool HasContact =
       !Membership.ContactCheck && Membership.LastHeard &&
       Now < *Membership.LastHeard + Membership.Policy.AckTimeout;
   if (!HasContact)
-    askForContact(Membership, Subject, Now);
+    startContactCheck(Membership, Subject, Now);
   return HasContact;
 }
 
 /// Returns members to ask, of as many failure domains as possible and not of
 /// the subject's.
-static std::vector<std::string> pickWitnesses(membership &Membership,
-                                              const contact_check &Check) {
-  std::vector<std::string> Witnesses;
+static std::vector<std::string> pickMembersToAsk(membership &Membership,
+                                                 const contact_check &Check) {
+  std::vector<std::string> Asked;
   std::set<std::string> FailureDomains;
   const std::vector<std::string> &Names = Membership.Names;
   if (Names.empty())
-    return Witnesses;
+    return Asked;
   const auto Subject = Membership.Members.find(Check.Subject);
   if (Subject != Membership.Members.end())
     FailureDomains.insert(Subject->second.FailureDomain);
   const std::size_t Picks = PicksPerContactProbe * Check.ProbesLeft;
-  for (std::size_t Pick = 0;
-       Pick < Picks && Witnesses.size() < Check.ProbesLeft; ++Pick) {
+  for (std::size_t Pick = 0; Pick < Picks && Asked.size() < Check.ProbesLeft;
+       ++Pick) {
     const std::string &Name = Names[Membership.Random() % Names.size()];
-    // Later picks may be of a domain that has a witness already.
+    // Later picks may be of a domain that is asked already.
     const bool IsSpread =
         Pick >= Picks / 2 ||
         !FailureDomains.contains(Membership.Members.at(Name).FailureDomain);
     if (Name == Check.Subject || Membership.NotUp.contains(Name) || !IsSpread ||
-        std::find(Witnesses.begin(), Witnesses.end(), Name) != Witnesses.end())
+        std::find(Asked.begin(), Asked.end(), Name) != Asked.end())
       continue;
     FailureDomains.insert(Membership.Members.at(Name).FailureDomain);
-    Witnesses.push_back(Name);
+    Asked.push_back(Name);
   }
-  return Witnesses;
+  return Asked;
 }
 
 void sendContactProbes(membership &Membership, membership_messages &Messages) {
   if (!Membership.ContactCheck || Membership.ContactCheck->ProbesLeft == 0)
     return;
   for (const std::string &Name :
-       pickWitnesses(Membership, *Membership.ContactCheck))
+       pickMembersToAsk(Membership, *Membership.ContactCheck))
     // Without updates, which would be used up if nothing gets through.
     Messages.push_back({Name, {kind::Ping, Name, {}, {}, {}}});
   Membership.ContactCheck->ProbesLeft = 0;
--- a/Libraries/Membership/contact.h
+++ b/Libraries/Membership/contact.h
@@ -8,13 +8,14 @@
 
 /// Starts to ask several members of different failure domains for an ack,
 /// because \p Subject didn't send one. Does nothing if that is in progress.
-void askForContact(membership &Membership, const std::string &Subject,
-                   instant Now);
+void startContactCheck(membership &Membership, const std::string &Subject,
+                       instant Now);
 
 /// Returns whether the absence of a member's ack may be judged: this instance
 /// has just received messages, or has turned out to be cut off. If neither is
 /// known, starts to find out.
-bool mayJudge(membership &Membership, const std::string &Subject, instant Now);
+bool mayJudgeMissingAck(membership &Membership, const std::string &Subject,
+                        instant Now);
 
 /// Records that a message from \p From arrived, which ends an isolation.
 void recordMessage(membership &Membership, const std::string &From,
--- a/Libraries/Membership/membership.cpp
+++ b/Libraries/Membership/membership.cpp
@@ -29,7 +29,7 @@
   for (const auto &[Name, Member] : Membership.Members) {
     Membership.Names.push_back(Name);
     Membership.NamesByHash.emplace(stableHash(Name), Name);
-    Membership.Ring.emplace_back(stableHash(Name), Name);
+    Membership.Ring.push_back({Member.FailureDomain, stableHash(Name), Name});
     if (Member.FailureDomain.empty())
       continue;
     member_group &Group = Membership.Groups[Member.FailureDomain];
@@ -58,7 +58,9 @@
   std::erase_if(Membership.Pending,
                 [&](const auto &Entry) { return !IsListed(Entry.second); });
   for (const auto &[Name, FailureDomain] : FailureDomains)
-    if (!Membership.Own.contains(Name))
+    if (Membership.Own.contains(Name))
+      Membership.OwnFailureDomain = FailureDomain;
+    else
       Membership.Members.try_emplace(Name).first->second.FailureDomain =
           FailureDomain;
   rebuildIndexes(Membership);
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -27,7 +27,7 @@
 /// receives a message again. See docs/design/loss-detection.md.
 ///
 /// If the policy says so, each member is also probed at regular intervals by
-/// its predecessor in the order of hashed names: a loss is found within one
+/// its predecessor on a ring of all members: a loss is found within one
 /// period, while random probes alone may miss it for several.
 ///
 /// An instance that starts, or was silent for a while, asks a few members for
@@ -128,7 +128,7 @@
   /// Messages that carry a changed status: at least, and for each doubling of
   /// the fleet, since a status spreads in as many steps.
   int MinTransmissions = 12;
-  int TransmissionsPerDoubling = 2;
+  int TransmissionsPerDoubling = 3;
   /// Members of the same failure domain that are probed after an unanswered
   /// probe.
   std::size_t FollowUpProbes = 8;
@@ -220,6 +220,14 @@
   std::size_t Responses = 0;
 };
 
+/// The place of a member on the ring, which orders them.
+struct ring_place {
+  std::string FailureDomain;
+  std::uint64_t NameHash = 0;
+  std::string Name;
+  auto operator<=>(const ring_place &) const = default;
+};
+
 struct membership {
   /// The members that this control responds for: itself and its instance's
   /// daemons that are alive.
@@ -255,8 +263,11 @@
   /// next one.
   active_probe SuccessorProbe;
   instant NextSuccessorProbe{};
-  /// The members by the hash of their names.
-  std::vector<std::pair<std::uint64_t, std::string>> Ring;
+  /// The members by failure domain, and in it by the hash of their names, so
+  /// that few of the probes of successors leave a failure domain.
+  std::vector<ring_place> Ring;
+  /// Empty if not known.
+  std::string OwnFailureDomain;
   /// Failure domains in which follow-up probes are to be sent.
   std::deque<std::string> FollowUpDomains;
   /// Follow-up probes in progress, by subject: when they were sent.
@@ -275,7 +286,8 @@
 /// count as up.
 void setMembers(membership &Membership, const std::set<std::string> &Names);
 
-/// Sets the members of the fleet together with their failure domains.
+/// Sets the members of the fleet together with their failure domains; own
+/// members may be included.
 void setMembersWithDomains(
     membership &Membership,
     const std::map<std::string, std::string> &FailureDomains);
--- a/Libraries/Membership/probes.cpp
+++ b/Libraries/Membership/probes.cpp
@@ -75,7 +75,7 @@
   if (!Probe.Indirect) {
     Probe.Indirect = true;
     Probe.Sent = Now;
-    askForContact(Membership, Probe.Subject, Now);
+    startContactCheck(Membership, Probe.Subject, Now);
     sendIndirectProbes(Membership, Probe.Subject, Messages);
     const auto Member = Membership.Members.find(Probe.Subject);
     if (Member != Membership.Members.end() &&
@@ -83,7 +83,7 @@
       planFollowUps(Membership, Probe.Subject);
     return;
   }
-  if (!mayJudge(Membership, Probe.Subject, Now))
+  if (!mayJudgeMissingAck(Membership, Probe.Subject, Now))
     return;
   recordMissingResponse(Membership, Probe.Subject, Now);
   Probe = {};
@@ -103,13 +103,13 @@
   if (Membership.Own.empty())
     return {};
   const auto &Ring = Membership.Ring;
-  const std::uint64_t OwnHash = stableHash(Membership.Own.begin()->first);
-  const auto First = std::upper_bound(
-      Ring.begin(), Ring.end(), OwnHash,
-      [](std::uint64_t Hash, const auto &Entry) { return Hash < Entry.first; });
+  const std::string &OwnName = Membership.Own.begin()->first;
+  const ring_place OwnPlace{Membership.OwnFailureDomain, stableHash(OwnName),
+                            OwnName};
+  const auto First = std::upper_bound(Ring.begin(), Ring.end(), OwnPlace);
   const auto Offset = static_cast<std::size_t>(First - Ring.begin());
   for (std::size_t Visited = 0; Visited < Ring.size(); ++Visited) {
-    const std::string &Name = Ring[(Offset + Visited) % Ring.size()].second;
+    const std::string &Name = Ring[(Offset + Visited) % Ring.size()].Name;
     if (Membership.Members.at(Name).Status == member_status::Up)
       return Name;
   }
@@ -150,7 +150,7 @@
   const auto Due = std::find_if(Membership.FollowUps.begin(),
                                 Membership.FollowUps.end(), IsDue);
   if (Due == Membership.FollowUps.end() ||
-      !mayJudge(Membership, Due->first, Now))
+      !mayJudgeMissingAck(Membership, Due->first, Now))
     return;
   std::erase_if(Membership.FollowUps, [&](const auto &Entry) {
     if (!IsDue(Entry))
@@ -240,7 +240,7 @@
   if (!IsVerified &&
       (Member.Status == member_status::Up || !isCorrelated(Membership, Member)))
     return;
-  if (!mayJudge(Membership, Name, Now))
+  if (!mayJudgeMissingAck(Membership, Name, Now))
     return;
   setUp(Membership, Name, false);
   recordMissingResponse(Membership, Name, Now);
--- a/Services/Node/peer_link.cpp
+++ b/Services/Node/peer_link.cpp
@@ -207,6 +207,12 @@
 }
 
 void peer_link::logMembershipChanges() {
+  const bool IsIsolated = Node.Fleet.Membership.IsIsolated;
+  if (IsIsolated != LoggedIsolated)
+    Node.Log.write(log_kind::ClusterState,
+                   IsIsolated ? "isolated_from_peers" : "peers_heard_again", {},
+                   Node.Loop.now());
+  LoggedIsolated = IsIsolated;
   const std::set<std::string> &Down = downMembers(Node.Fleet.Membership);
   if (Down == LoggedDown)
     return;
--- a/Services/Node/peer_link.h
+++ b/Services/Node/peer_link.h
@@ -58,6 +58,7 @@
   int Descriptor = -1;
   bool HasLeft = false;
   std::set<std::string> LoggedDown;
+  bool LoggedIsolated = false;
 };
 
 } // namespace amaranthhoist
