--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -46,6 +46,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -225,7 +226,10 @@
   std::string FailureDomain;
   std::uint64_t NameHash = 0;
   std::string Name;
-  auto operator<=>(const ring_place &) const = default;
+  bool operator<(const ring_place &Other) const {
+    return std::tie(FailureDomain, NameHash, Name) <
+           std::tie(Other.FailureDomain, Other.NameHash, Other.Name);
+  }
 };
 
 struct membership {
