Quota: a returned token expires once its pool was refilled

Seen: all servers hold requests of an account for up to 2 s and then state that they haven't run them.

Cause: returnToken() gave the token to any lease that lasted. The holder had reported it as spent meanwhile, and the coordinator had refilled the pool in its place. A retry of the same request kept its token for any time, with the same effect.

Change: a spent token states the grant that it is from. It is usable again while the coordinator counts it as held: no later request has reported it, the lease lasts, and it did not leave its pool when it was granted. Otherwise only a retry within 50 ms may use it.

Why it works: as long as the coordinator counts a token, its pool holds one less. A retry within 50 ms adds no more than rate x 50 ms to a window, within what pools and starting coordinators leave of the bound.

The test ReturnedTokenIsSpentAgain returned a token that had been granted for a waiting request, which the bound doesn't permit. It now returns one that is held in advance; that the former one is dropped is a test of its own.

--- a/Services/Node/quota_link.cpp
+++ b/Services/Node/quota_link.cpp
@@ -63,34 +63,46 @@
   countArrival(Holder, Account, Now);
 }
 
-quota_verdict quota_link::acquire(const std::string &Account,
-                                  quota_waiter &Waiter) {
+spend_result quota_link::acquire(const std::string &Account,
+                                 quota_waiter &Waiter) {
   const account_id Id = accountId(Account);
   const instant Now = event_loop::suspendAwareNow();
   countRequest(Id, Now);
   waiter_queue &Queue = Waiters[Id];
   // Those that wait already come first.
-  quota_verdict Verdict =
-      Queue.empty() ? spendToken(Holder, Id, Now, Now) : quota_verdict::Pending;
-  if (Verdict == quota_verdict::Pending) {
+  const spend_result Result = Queue.empty()
+                                  ? spendToken(Holder, Id, Now, Now)
+                                  : spend_result{quota_verdict::Pending, {}};
+  if (Result.Verdict == quota_verdict::Pending) {
     if (Queue.size() >= MaxWaiters)
-      return quota_verdict::Unknown;
+      return {quota_verdict::Unknown, {}};
     Queue.push_back({&Waiter, Now});
     setWaiting(Holder, Id, Queue.size());
   }
-  if (Verdict == quota_verdict::Granted || Verdict == quota_verdict::Pending)
+  if (Result.Verdict == quota_verdict::Granted ||
+      Result.Verdict == quota_verdict::Pending)
     plan(Id, Now);
-  return Verdict;
+  return Result;
 }
 
-bool quota_link::acquireHeld(const std::string &Account) {
+std::optional<spent_token> quota_link::acquireHeld(const std::string &Account) {
   const account_id Id = accountId(Account);
   const instant Now = event_loop::suspendAwareNow();
-  return spendToken(Holder, Id, Now, Now) == quota_verdict::Granted;
+  const spend_result Result = spendToken(Holder, Id, Now, Now);
+  if (Result.Verdict != quota_verdict::Granted)
+    return std::nullopt;
+  return Result.Token;
 }
 
-void quota_link::giveBack(const std::string &Account) {
-  returnToken(Holder, accountId(Account), event_loop::suspendAwareNow());
+bool quota_link::maySpendAgain(const std::string &Account,
+                               const spent_token &Token) const {
+  return amaranthhoist::maySpendAgain(Holder, accountId(Account), Token,
+                                      event_loop::suspendAwareNow());
+}
+
+void quota_link::giveBack(const std::string &Account,
+                          const spent_token &Token) {
+  returnToken(Holder, accountId(Account), Token, event_loop::suspendAwareNow());
 }
 
 void quota_link::cancel(quota_waiter &Waiter) {
@@ -212,17 +224,16 @@
 void quota_link::serveWaiters(account_id Account, instant Now) {
   waiter_queue &Queue = Waiters[Account];
   while (!Queue.empty()) {
-    quota_verdict Verdict =
-        spendToken(Holder, Account, Queue.front().Since, Now);
-    if (Verdict == quota_verdict::Pending) {
+    spend_result Result = spendToken(Holder, Account, Queue.front().Since, Now);
+    if (Result.Verdict == quota_verdict::Pending) {
       if (Now - Queue.front().Since < MaxWait)
         break;
-      Verdict = quota_verdict::Unknown;
+      Result.Verdict = quota_verdict::Unknown;
     }
     quota_waiter *Waiter = Queue.front().Waiter;
     Queue.pop_front();
     setWaiting(Holder, Account, Queue.size());
-    Waiter->onQuotaVerdict(Verdict);
+    Waiter->onQuotaVerdict(Result);
   }
   plan(Account, Now);
 }
