Node: a response that is broken off doesn't take a complete one along

Callers saw: of two pipelined requests, the first of which had a complete response, neither got one, because the server of the second broke off.

Cause: onFirstDone() resets the connection when a response was aborted. A reset drops what the write buffer and the kernel still hold of the responses before it.

Change: the connection is reset only if the aborted response is the first one on it. Else it is closed regularly once all bytes are sent; requests in flight behind are dropped as when the caller disconnects.

Why it works: whether the caller has received an earlier response can't be known from this side, so that none is discarded. Each response has a length or is chunked: a regular close in the middle of one shows.

--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -113,13 +113,28 @@
 
 void caller_connection::onDisconnect(disconnect_reason /*End*/) {
   Node.Loop.cancel(Timer);
+  dropRequests();
+  Server.retire(*this);
+}
+
+void caller_connection::dropRequests() {
   while (!Slots.empty()) {
-    // The server keeps exchanges that continue without the caller.
     if (auto Exchange = Slots.front()->onCallerDisconnected())
       Server.adopt(std::move(Exchange));
     retireFirst();
   }
-  Server.retire(*this);
+}
+
+void caller_connection::endAfterAbort() {
+  if (!HasSentResponse) {
+    Stream.closeWithReset();
+    onDisconnect(disconnect_reason::ConnectionLost);
+    return;
+  }
+  // A reset would discard what the network still holds of the complete
+  // responses. The broken one shows by its length or its missing last chunk.
+  dropRequests();
+  closeGracefully();
 }
 
 void caller_connection::onBytes(std::string_view Bytes) {
@@ -361,11 +376,10 @@
       recordWritten(Unsent, Slots.front()->requestId(), Stream.pendingBytes());
     retireFirst();
     if (IsAborted) {
-      logUnsent("later_response_aborted");
-      Stream.closeWithReset();
-      onDisconnect(disconnect_reason::ConnectionLost);
+      endAfterAbort();
       return;
     }
+    HasSentResponse = true;
     if (ClosesConnection) {
       closeGracefully();
       return;
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -61,6 +61,11 @@
   [[nodiscard]] bool mayServeConcurrently(const caller_request &Request) const;
   void serve(caller_request Request);
   void retireFirst();
+  /// Drops the requests in flight. The server keeps exchanges that continue
+  /// without the caller.
+  void dropRequests();
+  /// Ends the connection after a response that was broken off.
+  void endAfterAbort();
   void onAllResponsesSent();
   /// Sends a response with \p Status without an exchange and closes the
   /// connection, after the responses to all earlier requests.
@@ -108,6 +113,8 @@
   /// A response has announced, or will announce, that the connection closes
   /// after it.
   bool IsLastRequestRead = false;
+  /// A complete response was sent, of which the kernel may still hold a part.
+  bool HasSentResponse = false;
   bool IsClosing = false;
 };
 
--- a/Tests/NodeProcesses/slow_reader_test.cpp
+++ b/Tests/NodeProcesses/slow_reader_test.cpp
@@ -128,3 +128,22 @@
   CHECK(Fleet.runUntil([&] { return Reader.readToEnd(Requests); }));
   LONGS_EQUAL(Requests, Reader.completeResponses());
 }
+
+// Failure: a pipelined response that its server breaks off takes the complete
+// one before it along, of which a part is unsent.
+TEST(SlowReader, CompleteResponseSurvivesABrokenOneBehindIt) {
+  reader_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->PaddingBytes = 150'000;
+  slow_reader Reader(Fleet.Node->Callers, "/safe/x", "id-1");
+  CHECK(Fleet.waitForResponse("id-1"));
+  Fleet.setAll(target_stand_in::behavior::TruncatesBody);
+  Reader.request("/safe/x", "id-2");
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.logOf(*Fleet.Node).find("server_broke_off") !=
+           std::string::npos;
+  }));
+  CHECK(Fleet.runUntil([&] { return Reader.readToEnd(2); }));
+  LONGS_EQUAL(1, Reader.completeResponses());
+}
