Node: the link to the coordinators outlives the requests that wait for tokens

Seen: in builds with an address sanitizer a process that ends while requests wait for tokens of their accounts reports a use of freed memory, and exits with an error.

Cause: node_program's members are destroyed in reverse order, quota_link before the callers. An exchange that is destroyed with its connection cancels its wait, or returns its token, by Node.Quotas, which pointed to the destroyed object.

Evidence: node-process-tests -g Shutdown with the former program under an address sanitizer: RequestsThatWaitForTokensEndWithTheProcess, 3 of 3 runs, heap-use-after-free or an exit status of 1. Without a sanitizer the former program passes, 5 of 5.

Change: quota_link is declared before the callers. Its destructor clears Node.Quotas, so that a use after it can't pass unnoticed in any build.

Why it works: members are destroyed in reverse order of their declaration; the loop has destroyed retired exchanges at the end of its last iteration.

--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -49,6 +49,10 @@
   node_program(node_settings Settings, const wire_names &Wire,
                std::string SettingsFile)
       : SettingsFile(std::move(SettingsFile)), Node(std::move(Settings), Wire),
+        Quotas(Node,
+               [this](const auto &To, auto Datagram) {
+                 Peers.sendQuota(To, std::move(Datagram));
+               }),
         Pool(Node), Callers(Node, Pool, caller_kind::Caller),
         ForwardingPeers(Node, Pool, caller_kind::Peer),
         Store(Node,
@@ -60,10 +64,6 @@
               Store.onPeerVersion(Control, Version);
             },
             [this](const auto &Datagram) { Quotas.handleDatagram(Datagram); }),
-        Quotas(Node,
-               [this](const auto &To, auto Datagram) {
-                 Peers.sendQuota(To, std::move(Datagram));
-               }),
         PeerServer(Node.Loop,
                    [this](auto Path, auto Query) {
                      return handlePeerQuery(Path, Query);
@@ -240,12 +240,14 @@
   node Node;
   retry_budget_log RetryLog{Node};
   request_log RequestLog{Node};
+  // Before the callers, whose exchanges return their tokens when they are
+  // destroyed.
+  quota_link Quotas;
   target_pool Pool;
   caller_server Callers;
   caller_server ForwardingPeers;
   store_sync Store;
   peer_link Peers;
-  quota_link Quotas;
   small_server PeerServer;
   small_server Lookups;
   small_server Readiness;
--- a/Services/Node/quota_link.cpp
+++ b/Services/Node/quota_link.cpp
@@ -27,6 +27,8 @@
   Node.Loop.atEndOfIteration([this] { flush(); });
 }
 
+quota_link::~quota_link() { Node.Quotas = nullptr; }
+
 void quota_link::applyBounds() {
   const node_bounds &Bounds = Node.Settings.Bounds;
   Coordinator.Bounds = {Bounds.QuotaWindow, Bounds.QuotaOvershoot,
--- a/Services/Node/quota_link.h
+++ b/Services/Node/quota_link.h
@@ -43,6 +43,9 @@
       std::function<void(const std::string &To, peer_datagram Datagram)>;
 
   quota_link(node &Node, send_function Send);
+  ~quota_link();
+  quota_link(const quota_link &) = delete;
+  quota_link &operator=(const quota_link &) = delete;
 
   /// Applies the bounds of the settings, which may have been reloaded.
   void applyBounds();
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -241,7 +241,7 @@
 }
 
 bool node_fleet::hasExited(node_process &Node) {
-  if (Node.Process > 0 && waitpid(Node.Process, nullptr, WNOHANG) != 0)
+  if (Node.Process > 0 && waitpid(Node.Process, &Node.ExitStatus, WNOHANG) != 0)
     Node.Process = 0;
   return Node.Process == 0;
 }
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -61,6 +61,8 @@
   /// Store address in the node's settings; empty: the store stand-in.
   std::string Store;
   pid_t Process = 0;
+  /// As waitpid() returns it; set once the process was reaped by hasExited().
+  int ExitStatus = 0;
 };
 
 class node_fleet {
--- a/Tests/NodeProcesses/shutdown_test.cpp
+++ b/Tests/NodeProcesses/shutdown_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <sys/wait.h>
 
 using namespace amaranthhoist;
 using std::chrono::milliseconds;
@@ -19,6 +20,8 @@
 constexpr duration WorkTime = milliseconds(2'200);
 constexpr duration RequestPeriod = milliseconds(150);
 constexpr int Servers = 8;
+/// Enough that the node itself doesn't coordinate the nearest pool of all.
+constexpr int LimitedAccounts = 12;
 
 } // namespace
 
@@ -77,3 +80,43 @@
   CHECK(Refused > 0);
   LONGS_EQUAL(0, CutOff);
 }
+
+// Failure: a node crashes when its process ends, because requests that wait for
+// tokens of their accounts give them up after the link to the coordinators is
+// gone.
+TEST(Shutdown, RequestsThatWaitForTokensEndWithTheProcess) {
+  small_fleet Fleet;
+  CHECK(Fleet.IsReady);
+  // Shorter than the wait for three coordinators that don't respond.
+  Fleet.GracePeriod = "1s";
+  node_process &Node = Fleet.addNode("n0", "a1", "a");
+  std::vector<node_process *> Coordinators = {Fleet.Node,
+                                              &Fleet.addNode("n2", "a2", "a"),
+                                              &Fleet.addNode("n3", "b1", "b")};
+  for (int Account = 0; Account < LimitedAccounts; ++Account)
+    Fleet.Accounts[cat("account-", Account)] = {
+        {"api_keys", {cat("key-", Account)}},
+        {"rate_per_s", 100},
+        {"burst", 100}};
+  Fleet.putConfiguration(2);
+  for (node_process *Each : {&Node, Coordinators[1], Coordinators[2]}) {
+    Fleet.start(*Each);
+    CHECK(Fleet.waitReady(*Each));
+  }
+  CHECK(Fleet.runUntil([&] {
+    return Fleet.logOf(Node).find("\"quota_coordinators\",\"instances\":4") !=
+           std::string::npos;
+  }));
+  for (node_process *Each : Coordinators)
+    Fleet.signal(*Each, SIGKILL);
+  Fleet.signal(Node, SIGTERM);
+  std::vector<std::unique_ptr<caller_call>> Calls;
+  for (int Account = 0; Account < LimitedAccounts; ++Account) {
+    Fleet.Fields = cat("Api-Key: key-", Account, "\r\n");
+    Calls.push_back(Fleet.startRequest(Node, "/safe/x", cat("id-", Account)));
+  }
+  CHECK(Fleet.runUntil([&] { return Fleet.hasExited(Node); }));
+  CHECK(WIFEXITED(Node.ExitStatus));
+  LONGS_EQUAL(0, WEXITSTATUS(Node.ExitStatus));
+  CHECK(Fleet.logOf(Node).find("process_ended") != std::string::npos);
+}
