EventLoop: a peer that acknowledges without reading is waited for

Callers saw: the node's own 502 for uploads, 1.2 s after they were passed on and 1.5 s before their deadline, while the server worked on them. They may run only once.

Cause: TCP_USER_TIMEOUT. Linux counts the time for which a window stays closed, though the peer acknowledges each probe.

Change: a call whose bytes are unacknowledged after half of the timeout is checked by TCP_INFO. Servers, forwarding and the store use the same client_connection.

Why it works: an acknowledgement can come from a live peer only. A peer that has acknowledged nothing keeps the kernel's timeout, and so does the orphaned connection of a process that died while the peer's window was open.

--- a/Libraries/EventLoop/socket.cpp
+++ b/Libraries/EventLoop/socket.cpp
@@ -86,7 +86,7 @@
     return systemError("socket", errno);
   const int TimeoutMs = static_cast<int>(Timeout.count() / 1'000);
   setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, TimeoutMs);
+  setAckTimeout(Descriptor, Timeout);
   setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE,
             std::max(1, TimeoutMs / 1'000));
@@ -103,6 +103,11 @@
   return Descriptor;
 }
 
+void setAckTimeout(int Descriptor, duration Timeout) {
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Timeout.count() / 1'000));
+}
+
 int connectError(int Descriptor) {
   int Error = 0;
   socklen_t Size = sizeof Error;
--- a/Libraries/EventLoop/socket.h
+++ b/Libraries/EventLoop/socket.h
@@ -33,6 +33,8 @@
 /// keep-alive probe, before the peer is considered unreachable: a peer that
 /// lost power or is behind a partition never responds, not even with a reset.
 result<int> connectTo(const endpoint &Endpoint, duration Timeout);
+/// Changes the first of these bounds; zero turns it off.
+void setAckTimeout(int Descriptor, duration Timeout);
 /// Returns the error of a connection attempt; 0 if it is established.
 int connectError(int Descriptor);
 /// Opens a UDP socket bound to \p Endpoint and returns its descriptor.
--- a/Libraries/EventLoop/stream.cpp
+++ b/Libraries/EventLoop/stream.cpp
@@ -99,6 +99,27 @@
     readAll(PeerDisconnected);
 }
 
+bool stream::checkPeer(duration AckTimeout) {
+  const auto Progress =
+      Descriptor < 0 ? std::nullopt : readSendProgress(Descriptor);
+  if (!Progress)
+    return false;
+  switch (assessPeer(Liveness, *Progress, AckTimeout, Loop.now())) {
+  case liveness_action::None:
+    break;
+  case liveness_action::TurnTimeoutOff:
+    setAckTimeout(Descriptor, duration::zero());
+    break;
+  case liveness_action::TurnTimeoutOn:
+    setAckTimeout(Descriptor, AckTimeout);
+    break;
+  case liveness_action::GiveUp:
+    disconnect(disconnect_reason::ConnectionLost);
+    return false;
+  }
+  return !isIdle(*Progress);
+}
+
 void stream::disconnect(disconnect_reason Reason) {
   if (Descriptor < 0)
     return;
--- a/Libraries/EventLoop/stream.h
+++ b/Libraries/EventLoop/stream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "EventLoop/event_loop.h"
+#include "EventLoop/peer_liveness.h"
 
 #include <cstddef>
 #include <string>
@@ -57,6 +58,14 @@
   /// Whether the peer has closed its side, even if received bytes are still to
   /// be read.
   [[nodiscard]] bool hasPeerDisconnected() const { return PeerDisconnected; }
+  /// Checks a peer that has not acknowledged all bytes, with the timeout that
+  /// its connection was opened with. A peer that acknowledges without reading
+  /// is waited for; one that is gone is reported as a lost connection. Returns
+  /// whether another check is needed before more bytes are written.
+  bool checkPeer(duration AckTimeout);
+  /// Whether the peer was found to acknowledge without reading, and has not
+  /// been found to have acknowledged everything since.
+  [[nodiscard]] bool isPeerSlow() const { return Liveness.IsTimeoutOff; }
   /// Closes immediately and drops the write buffer.
   void close();
   /// Closes with a reset, so that the peer cannot mistake a truncated message
@@ -88,6 +97,7 @@
   /// The connection broke before the peer had finished its stream.
   bool IsLost = false;
   bool ShutdownWhenFlushed = false;
+  peer_liveness Liveness;
   std::string WriteBuffer;
   std::size_t WriteOffset = 0;
 };
--- a/Libraries/HttpConnection/client_connection.cpp
+++ b/Libraries/HttpConnection/client_connection.cpp
@@ -13,6 +13,11 @@
 static constexpr int MaxInterimResponses = 16;
 /// Body bytes of skipped responses, several times the largest response.
 static constexpr std::size_t MaxSkippedBytes = 4'194'304;
+/// A call without a response is first checked after one part in this many of
+/// the peer's timeout. Most responses come sooner.
+static constexpr int FirstCheckDivisor = 2;
+/// Later checks. The kernel's timeout must not pass between two.
+static constexpr int CheckDivisor = 4;
 
 client_connection::client_connection(event_loop &Loop)
     : Loop(Loop), Stream(Loop, *this),
@@ -28,7 +33,8 @@
 }
 
 bool client_connection::connect(const endpoint &Endpoint,
-                                duration PeerTimeout) {
+                                duration NewPeerTimeout) {
+  PeerTimeout = NewPeerTimeout;
   auto Descriptor = connectTo(Endpoint, PeerTimeout);
   return Descriptor && Stream.open(*Descriptor, /*IsConnected=*/false);
 }
@@ -45,9 +51,21 @@
   ++CallCount;
   Reader.reset(IsForHead);
   Stream.write(Request);
+  checkPeerAfter(PeerTimeout / FirstCheckDivisor);
+}
+
+void client_connection::checkPeerAfter(duration Delay) {
+  Loop.cancel(PeerCheck);
+  PeerCheck = Loop.runAfter(Delay, [this] {
+    PeerCheck = 0;
+    // Before the connection is established, its kernel timeout alone counts.
+    if (!Stream.isConnected() || Stream.checkPeer(PeerTimeout))
+      checkPeerAfter(PeerTimeout / CheckDivisor);
+  });
 }
 
 void client_connection::close() {
+  Loop.cancel(PeerCheck);
   Owner = nullptr;
   IsReusable = false;
   Stream.close();
@@ -146,8 +164,10 @@
 
 void client_connection::finish(std::string_view Trailing) {
   IsReusable = IsReusable && Reader.isKeepAlive() && Trailing.empty() &&
-               Stream.pendingBytes() == 0 && Stream.isOpen();
+               Stream.pendingBytes() == 0 && Stream.isOpen() &&
+               !Stream.isPeerSlow();
   IdleSince = Loop.now();
+  Loop.cancel(PeerCheck);
   call_owner *Finished = Owner;
   Owner = nullptr;
   if (!IsReusable)
--- a/Libraries/HttpConnection/client_connection.h
+++ b/Libraries/HttpConnection/client_connection.h
@@ -48,6 +48,7 @@
 class client_connection : public retirable, private stream_owner {
 public:
   explicit client_connection(event_loop &Loop);
+  ~client_connection() override { Loop.cancel(PeerCheck); }
 
   /// Starts connecting. Returns false if that fails immediately. \p PeerTimeout
   /// is the timeout of connectTo().
@@ -88,6 +89,7 @@
   void handleHead();
   void finish(std::string_view Trailing);
   void failCall(bool Garbled);
+  void checkPeerAfter(duration Delay);
 
   event_loop &Loop;
   stream Stream;
@@ -98,6 +100,8 @@
   bool IsSkippingResponse = false;
   bool IsReusable = true;
   int CallCount = 0;
+  duration PeerTimeout{};
+  timer_id PeerCheck = 0;
   int SkippedResponses = 0;
   int InterimResponses = 0;
   std::size_t SkippedBytes = 0;
--- a/Tests/NodeProcesses/stand_in_server.cpp
+++ b/Tests/NodeProcesses/stand_in_server.cpp
@@ -117,6 +117,13 @@
              : Found->second.get();
 }
 
+void stand_in_server::readSlowly(duration Delay, int ReceiveBufferBytes) {
+  ReadDelay = Delay;
+  for (const auto &[Where, Listener] : Listeners)
+    setsockopt(Listener, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+               sizeof ReceiveBufferBytes);
+}
+
 void stand_in_server::onEvent(const io_event & /*Event*/) {
   for (const auto &[Where, Listener] : Listeners)
     acceptFrom(Listener);
@@ -132,6 +139,13 @@
         std::make_unique<stand_in_connection>(*this, ++LastNumber);
     if (!Connection->open(Descriptor))
       continue;
+    if (ReadDelay > duration::zero()) {
+      Connection->pause();
+      Loop.runAfter(ReadDelay, [this, Number = LastNumber] {
+        if (stand_in_connection *Paused = connection(Number))
+          Paused->resume();
+      });
+    }
     Connections.emplace(LastNumber, std::move(Connection));
   }
 }
--- a/Tests/NodeProcesses/stand_in_server.h
+++ b/Tests/NodeProcesses/stand_in_server.h
@@ -33,6 +33,8 @@
   void send(std::string_view Bytes) { Stream.write(Bytes); }
   /// Sends a response and reads the next request.
   void respond(int Status, std::string_view Fields, std::string_view Body);
+  void pause() { Stream.pause(); }
+  void resume() { Stream.resume(); }
   void close() { Stream.close(); }
   void reset() { Stream.closeWithReset(); }
 
@@ -62,6 +64,9 @@
   void listenAt(const std::string &Other);
   /// Stops listening at one address and resets all connections.
   void leave(const std::string &Former);
+  /// Reads nothing of new connections for \p Delay. Their kernel buffers hold
+  /// about \p ReceiveBufferBytes.
+  void readSlowly(duration Delay, int ReceiveBufferBytes);
   /// Returns the open connection with this number, or nullptr.
   stand_in_connection *connection(std::uint64_t Number);
 
@@ -83,6 +88,7 @@
   void acceptFrom(int Listener);
 
   std::string Address;
+  duration ReadDelay{};
   /// Descriptors by address.
   std::map<std::string, int> Listeners;
   std::uint64_t LastNumber = 0;
