Soak: the store's stand-in keeps lost writes over two restores

The store listed s0 as ready until the end, so that the nodes were right to send requests there.

Cause: a second restore began before the writers had made again what the first one lost. The stand-in kept the objects of one restore only: the copy for the second one replaced those that the first had come back with, and with them the removal of s0.

Evidence: StoreRestored WritersMakeTheirLostWritesAfterTwoRestores failed with the former stand-in.

Change: what a restore came back with is kept apart from the next copy, and a restore lets the writers make their lost writes first.

Why it works: writers go on to make a write until the store has it, however often it is restored; before each restore the stand-in now has what they mean to be there.

--- a/Tests/NodeProcesses/store_restored_test.cpp
+++ b/Tests/NodeProcesses/store_restored_test.cpp
@@ -181,3 +181,20 @@
   CHECK(Fleet.runUntil(
       [&] { return Fleet.status(*Fleet.Node)["evacuated"].empty(); }));
 }
+
+// Failure: the stand-in forgets a removal that one restore has lost, when the
+// next one begins before it was made again.
+TEST(StoreRestored, WritersMakeTheirLostWritesAfterTwoRestores) {
+  event_loop Loop;
+  store_stand_in Store(Loop);
+  Store.put("servers", "s0", {{"state", "ready"}});
+  Store.saveCopy();
+  Store.remove("servers", "s0");
+  Store.put("servers", "s1", {{"state", "ready"}});
+  Store.restoreCopy();
+  Store.saveCopy();
+  Store.restoreCopy();
+  Store.writeLostAgain();
+  CHECK_FALSE(Store.has("servers", "s0"));
+  CHECK(Store.has("servers", "s1"));
+}
--- a/Tests/NodeProcesses/store_stand_in.cpp
+++ b/Tests/NodeProcesses/store_stand_in.cpp
@@ -65,8 +65,12 @@
 }
 
 void store_stand_in::restoreCopy() {
+  if (HasLostWrites)
+    writeLostAgain();
   Lost = Data;
+  Restored = Copy;
   Data = Copy;
+  HasLostWrites = true;
   ++Era;
   Watches.clear();
 }
@@ -74,17 +78,17 @@
 bool store_stand_in::isChangedSinceRestore(const std::string &Kind,
                                            const std::string &Name) {
   if (!has(Kind, Name))
-    return Copy.Objects[Kind].contains(Name);
-  return Data.Objects[Kind][Name]["metadata"]["revision"] > Copy.Revision;
+    return Restored.Objects[Kind].contains(Name);
+  return Data.Objects[Kind][Name]["metadata"]["revision"] > Restored.Revision;
 }
 
 void store_stand_in::writeLostAgain() {
+  HasLostWrites = false;
   for (const char *Kind : {"config", "servers", "evacuations"}) {
     for (const auto &[Name, Object] : Lost.Objects[Kind])
       if (!isChangedSinceRestore(Kind, Name))
         put(Kind, Name, Object["specification"]);
-    const auto Restored = Copy.Objects[Kind];
-    for (const auto &[Name, Object] : Restored)
+    for (const auto &[Name, Object] : Restored.Objects[Kind])
       if (!Lost.Objects[Kind].contains(Name) &&
           !isChangedSinceRestore(Kind, Name))
         remove(Kind, Name);
--- a/Tests/NodeProcesses/store_stand_in.h
+++ b/Tests/NodeProcesses/store_stand_in.h
@@ -34,7 +34,8 @@
   /// revisions are assigned again, and waiting watches are dropped.
   void restoreCopy();
   /// Writes again what operators and servers had written and the last restore
-  /// lost, except for objects that were changed since.
+  /// lost, except for objects that were changed since. Another restore does so
+  /// first: its writers still mean to.
   void writeLostAgain();
   [[nodiscard]] bool has(const std::string &Kind,
                          const std::string &Name) const;
@@ -85,8 +86,11 @@
   std::uint64_t Oldest = 0;
   contents Data;
   contents Copy;
-  /// The objects that the last restore replaced.
+  /// What the last restore came back with, and what it replaced.
+  contents Restored;
   contents Lost;
+  /// What it replaced has not been written again.
+  bool HasLostWrites = false;
   std::vector<watch> Watches;
 };
 
