Node: slow readers share a quarter of its memory

Cause: each connection had a limit of unsent bytes, their sum had none. The write buffer was one string that grew by doubling and kept what was sent until all was sent.

Evidence: node-process-tests -g SlowReader with the former program (AMARANTHHOIST_NODE): MemoryOfManyReadersIsBounded, 250 readers, 105 MB of 32.

Change: Libraries/ResponseMemory counts the unsent bytes of all callers. A connection may hold a quarter of what is free of a quarter of the memory, 256 KB at most; beyond that its exchange stops reading from the server. When all is used up, requests are refused at once with memory_used_up. The write buffer consists of pieces that are freed one by one, and empty buffers are released while reading is paused.

Why it works: with a share of what is free, the sum stays below the limit for any number of connections; each exceeds its share by one read at most, or by one response that is held until it is complete.

Not measured: the latency of other callers beside them.

--- a/Libraries/EventLoop/stream.cpp
+++ b/Libraries/EventLoop/stream.cpp
@@ -12,6 +12,8 @@
 /// Size of the read buffer in bytes. It is on the stack, since an owner may
 /// resume another stream from within its callback.
 static constexpr std::size_t ReadSize = 32'768;
+/// A piece of the write buffer that is shorter than this takes further bytes.
+static constexpr std::size_t SmallPieceSize = 4'096;
 
 stream::~stream() { close(); }
 
@@ -61,33 +63,45 @@
   return 0;
 }
 
+void stream::buffer(std::string_view Bytes) {
+  PendingBytes += Bytes.size();
+  if (!WriteBuffer.empty() && WriteBuffer.back().size() < SmallPieceSize)
+    WriteBuffer.back().append(Bytes);
+  else
+    WriteBuffer.emplace_back(Bytes);
+}
+
 void stream::write(std::string_view Bytes) {
   if (Descriptor < 0)
     return;
-  if (pendingBytes() > 0 || !IsConnected) {
-    WriteBuffer.append(Bytes);
-    return;
-  }
-  const std::size_t Accepted = sendBytes(Bytes);
-  if (Accepted < Bytes.size()) {
-    WriteBuffer.assign(Bytes.substr(Accepted));
-    WriteOffset = 0;
-  }
+  if (pendingBytes() == 0 && IsConnected)
+    Bytes.remove_prefix(sendBytes(Bytes));
+  if (!Bytes.empty())
+    buffer(Bytes);
 }
 
 void stream::flush() {
+  if (pendingBytes() == 0)
+    return;
+  const std::size_t PendingBefore = pendingBytes();
   while (pendingBytes() > 0) {
-    const std::size_t Accepted =
-        sendBytes(std::string_view(WriteBuffer).substr(WriteOffset));
+    const std::string_view Piece =
+        std::string_view(WriteBuffer.front()).substr(WriteOffset);
+    const std::size_t Accepted = sendBytes(Piece);
     if (Accepted == 0)
-      return;
+      break;
+    PendingBytes -= Accepted;
     WriteOffset += Accepted;
+    if (Accepted < Piece.size())
+      continue;
+    WriteBuffer.erase(WriteBuffer.begin());
+    WriteOffset = 0;
   }
-  const bool HadPendingBytes = !WriteBuffer.empty();
-  WriteBuffer.clear();
-  WriteOffset = 0;
-  if (!HadPendingBytes)
+  if (pendingBytes() > 0) {
+    if (pendingBytes() < PendingBefore)
+      Owner.onPartlyFlushed();
     return;
+  }
   if (ShutdownWhenFlushed)
     shutdown(Descriptor, SHUT_WR);
   Owner.onFlushed();
--- a/Libraries/EventLoop/stream.h
+++ b/Libraries/EventLoop/stream.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthhoist {
 
@@ -26,6 +27,8 @@
   virtual ~stream_owner() = default;
   virtual void onConnected() {}
   virtual void onBytes(std::string_view Bytes) = 0;
+  /// The kernel has accepted a part of the bytes in the write buffer.
+  virtual void onPartlyFlushed() {}
   /// The kernel has accepted all written bytes.
   virtual void onFlushed() {}
   virtual void onDisconnect(disconnect_reason Reason) = 0;
@@ -45,9 +48,7 @@
   /// Sends \p Bytes and buffers those that the kernel does not accept.
   void write(std::string_view Bytes);
   /// Number of bytes in the write buffer.
-  [[nodiscard]] std::size_t pendingBytes() const {
-    return WriteBuffer.size() - WriteOffset;
-  }
+  [[nodiscard]] std::size_t pendingBytes() const { return PendingBytes; }
 
   /// Stops reading, to apply back pressure to the peer, until resume().
   void pause() { IsReadingPaused = true; }
@@ -82,6 +83,7 @@
   void readAll(bool UntilEof);
   /// Returns the number of bytes that the kernel accepted.
   std::size_t sendBytes(std::string_view Bytes);
+  void buffer(std::string_view Bytes);
   void flush();
   void disconnect(disconnect_reason Reason);
 
@@ -98,8 +100,11 @@
   bool IsLost = false;
   bool ShutdownWhenFlushed = false;
   peer_liveness Liveness;
-  std::string WriteBuffer;
+  /// Bytes to be sent, in pieces, so that each is freed when it is sent.
+  std::vector<std::string> WriteBuffer;
+  /// Bytes of the first piece that are sent.
   std::size_t WriteOffset = 0;
+  std::size_t PendingBytes = 0;
 };
 
 } // namespace amaranthhoist
--- a/Libraries/Steering/refusal.cpp
+++ b/Libraries/Steering/refusal.cpp
@@ -37,6 +37,8 @@
     return "leaving";
   case refusal::ForwardingLimit:
     return "forwarding_limit";
+  case refusal::MemoryUsedUp:
+    return "memory_used_up";
   }
   return "unknown";
 }
@@ -50,6 +52,7 @@
   case refusal::NoTarget:
   case refusal::ShuttingDown:
   case refusal::ForwardingLimit:
+  case refusal::MemoryUsedUp:
     return true;
   default:
     return false;
--- a/Libraries/Steering/steering.h
+++ b/Libraries/Steering/steering.h
@@ -152,6 +152,8 @@
   ShuttingDown,
   /// This instance serves as many requests of other instances as it may.
   ForwardingLimit,
+  /// Responses that callers have not taken use up the memory for them.
+  MemoryUsedUp,
 };
 
 /// The name of a refusal in logs and metrics.
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -30,7 +30,8 @@
 caller_connection::caller_connection(node &Node, target_pool &Pool,
                                      caller_server &Server)
     : Node(Node), Pool(Pool), Server(Server), Stream(Node.Loop, *this),
-      Reader(message_kind::Request, HardHeadLimit) {}
+      Reader(message_kind::Request, HardHeadLimit),
+      Memory(Node.ResponseMemory) {}
 
 caller_connection::~caller_connection() {
   Node.Loop.cancel(Timer);
@@ -149,6 +150,7 @@
 
 void caller_connection::onFlushed() {
   Unsent.Responses.clear();
+  Memory.set(0);
   if (!Slots.empty())
     Slots.front()->onCallerDrained();
   else if (IsClosing)
@@ -163,13 +165,15 @@
 void caller_connection::sendNow(std::string_view Bytes) {
   Unsent.WrittenBytes += Bytes.size();
   Stream.write(Bytes);
+  Memory.set(Stream.pendingBytes());
 }
 
 /// Returns whether the next request may be parsed while others are served.
 bool caller_connection::mayReadNext() const {
   if (IsClosing || IsLastRequestRead || DeferredRequest || DeferredRejection)
     return false;
-  if (!Reader.hasStarted() && Stream.pendingBytes() > MaxUnsentBytes)
+  if (!Reader.hasStarted() &&
+      Stream.pendingBytes() > unsentAllowance(Node.ResponseMemory))
     return false;
   // Nobody waits for the response to a request that is read only now.
   if (Stream.hasPeerDisconnected())
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -42,6 +42,7 @@
 
 private:
   void onBytes(std::string_view Bytes) override;
+  void onPartlyFlushed() override { Memory.set(Stream.pendingBytes()); }
   void onFlushed() override;
   void onDisconnect(disconnect_reason End) override;
 
@@ -98,6 +99,7 @@
   std::optional<int> DeferredRejection;
   std::string Backlog;
   unsent_responses Unsent;
+  memory_share Memory;
   /// Bytes in the write buffer when the wait for the caller began.
   std::size_t PendingAtWaitStart = 0;
   timer_id Timer = 0;
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -44,6 +44,10 @@
     refuse(refusal::ShuttingDown);
     return;
   }
+  if (isUsedUp(Node.ResponseMemory)) {
+    refuse(refusal::MemoryUsedUp);
+    return;
+  }
   if (Request.Forwarded &&
       !acceptsForwarded({Node.ForwardedInFlight - 1, Node.OwnInFlight,
                          capacityOf(Node.Fleet.Own), Node.Settings.MemoryMb})) {
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -17,11 +17,6 @@
 
 namespace amaranthhoist {
 
-/// Unsent bytes at which a caller's connection takes no more: reading from the
-/// server pauses, and no further request is begun. Bounds the memory that a
-/// slow caller costs.
-inline constexpr std::size_t MaxUnsentBytes = 262'144;
-
 /// A request as read from the caller.
 struct caller_request {
   std::string Id;
@@ -57,7 +52,8 @@
   virtual ~exchange_caller() = default;
   /// Sends bytes of the response.
   virtual void send(std::string_view Bytes) = 0;
-  /// Bytes written but not yet accepted by the caller.
+  /// Bytes of the connection written but not yet accepted by the caller, and
+  /// those of this response that wait for the responses before it.
   virtual std::size_t unsentBytes() const = 0;
   /// Decides whether the connection accepts another request after this one;
   /// called once, when the response head is built.
@@ -161,6 +157,9 @@
   /// Applies what the response head reports about the server itself.
   void applyServerState(const message_head &Head);
   bool isHeldBodyTooLong() const;
+  /// Stops reading from the server until the caller has taken what was sent.
+  /// \p Body is the connection's empty buffer.
+  void pauseReading(std::string &Body);
   void beginStreaming();
   void finishResponse();
   void refuse(refusal Reason);
--- a/Services/Node/exchange_answer.cpp
+++ b/Services/Node/exchange_answer.cpp
@@ -55,10 +55,16 @@
     Caller->send(BufferedBody);
   }
   BufferedBody.clear();
-  if (Caller && Caller->unsentBytes() > MaxUnsentBytes) {
-    IsReadingPaused = true;
-    Connection->pauseReading();
-  }
+  if (Caller && Caller->unsentBytes() > unsentAllowance(Node.ResponseMemory))
+    pauseReading(Body);
+}
+
+void exchange::pauseReading(std::string &Body) {
+  IsReadingPaused = true;
+  Connection->pauseReading();
+  // Thousands of slow callers would keep as many empty buffers.
+  BufferedBody.shrink_to_fit();
+  Body.shrink_to_fit();
 }
 
 void exchange::onCallerDrained() {
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -31,6 +31,7 @@
                          Settings.Bounds.ColdSlack};
   Steering.BulkLocality = Settings.BulkLocality;
   Node.Fleet.Own.Processor = Settings.CpuShare;
+  setMemoryLimit(Node.ResponseMemory, Settings.MemoryMb);
 }
 
 std::int64_t configurationVersion(const node &Node) {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -9,6 +9,7 @@
 #include "HttpConnection/client_connection.h"
 #include "Metrics/metrics.h"
 #include "NodeSettings/node_settings.h"
+#include "ResponseMemory/response_memory.h"
 #include "Shutdown/shutdown.h"
 #include "StateSpread/configuration_lag.h"
 #include "StateSpread/watch_duty.h"
@@ -112,6 +113,8 @@
   shutdown_schedule Shutdown;
   /// Bytes of request bodies buffered for all callers together.
   std::size_t BufferedBodyBytes = 0;
+  /// Responses that callers have not taken yet.
+  response_memory ResponseMemory;
 
   /// Returns whether the node has enough state to serve callers and is not
   /// shutting down.
--- a/Services/Node/response_slot.cpp
+++ b/Services/Node/response_slot.cpp
@@ -6,7 +6,7 @@
                              caller_request Request, bool RequestsKeepAlive,
                              std::size_t BodyBytes)
     : Node(Node), Owner(Owner), RequestId(Request.Id), BodyBytes(BodyBytes),
-      RequestsKeepAlive(RequestsKeepAlive) {
+      Memory(Node.ResponseMemory), RequestsKeepAlive(RequestsKeepAlive) {
   exchange_caller &Caller = *this;
   Exchange = std::make_unique<exchange>(Node, Pool, Caller, std::move(Request));
 }
@@ -17,7 +17,12 @@
   if (Owner.isFirst(*this))
     Owner.sendNow(Bytes);
   else
-    PendingBytes.append(Bytes);
+    hold(Bytes);
+}
+
+void response_slot::hold(std::string_view Bytes) {
+  PendingBytes.append(Bytes);
+  Memory.set(PendingBytes.size());
 }
 
 std::size_t response_slot::unsentBytes() const {
@@ -43,6 +48,8 @@
 void response_slot::onBecameFirst() {
   Owner.sendNow(PendingBytes);
   PendingBytes.clear();
+  PendingBytes.shrink_to_fit();
+  Memory.set(0);
   // Reading from the server may have been paused because of the bytes buffered
   // here.
   if (!IsDone)
--- a/Services/Node/response_slot.h
+++ b/Services/Node/response_slot.h
@@ -61,6 +61,7 @@
 
 private:
   void send(std::string_view Bytes) override;
+  void hold(std::string_view Bytes);
   std::size_t unsentBytes() const override;
   bool decideKeepAlive() override;
   bool supportsChunked() const override { return true; }
@@ -74,6 +75,7 @@
   std::string PendingBytes;
   const std::string RequestId;
   std::size_t BodyBytes;
+  memory_share Memory;
   bool RequestsKeepAlive;
   bool ClosesConnection = false;
   bool IsDone = false;
--- a/Services/Node/status.cpp
+++ b/Services/Node/status.cpp
@@ -71,6 +71,7 @@
       {"servers_unreachable", hasImpairedService(Node.Steering.Reachability)},
       {"quarantined", countQuarantined(Node.Steering.Quarantine)},
       {"services", States},
+      {"unsent_bytes", Node.ResponseMemory.UsedBytes},
       {"accounts", Routes ? Routes->Accounts.Accounts.size() : 0},
       {"pools_coordinated", Node.Quotas->poolsInUse()},
       {"limits", encodeLimits(*Node.Quotas)},
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -190,10 +190,8 @@
       "]\nlisten:\n  callers: ", Node.Callers,
       "\n  readiness: ", Node.Readiness, "\n  lookups: ", Node.Lookups,
       "\n  control: ", Node.Control, "\n  peers: ", Node.Peers,
-      "\nlimits:\n  processor: 0.2\n  memory_mb: 260\n"
-      "  file_descriptors: 4100\n"
-      "bounds:\n  repeat_ratio: ",
-      RetryRatio,
+      "\nlimits:\n  processor: 0.2\n  memory_mb: ", MemoryMb,
+      "\n  file_descriptors: 4100\nbounds:\n  repeat_ratio: ", RetryRatio,
       "\n  repeat_window: 10s\n  repeat_slack: 60\n  grace_period: ",
       GracePeriod,
       "\n  lookup_ttl: 5s\n"
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -100,6 +100,8 @@
   double QuotaSlack = 20;
   /// Time from SIGTERM to the end of a process.
   std::string GracePeriod = "6s";
+  /// Memory that a node may use, in megabytes.
+  int MemoryMb = 260;
   /// Further lines of the settings' bounds.
   std::string Bounds;
 
--- a/Tests/NodeProcesses/slow_reader_test.cpp
+++ b/Tests/NodeProcesses/slow_reader_test.cpp
@@ -7,6 +7,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 
 using namespace amaranthhoist;
 using std::chrono::milliseconds;
@@ -41,6 +43,21 @@
   }
 };
 
+/// Peak of the resident memory of a process, in megabytes.
+double peakMemoryMb(const node_process &Node) {
+  std::ifstream Status(cat("/proc/", Node.Process, "/status"));
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with("VmHWM:"))
+      return std::atof(Line.c_str() + Line.find_first_of("0123456789")) / 1e3;
+  return 0;
+}
+
+/// Number of slow readers; more by hand.
+int readerCount() {
+  const char *Text = std::getenv("AMARANTHHOIST_READERS");
+  return Text ? std::atoi(Text) : 250;
+}
+
 } // namespace
 
 // clang-format off
@@ -147,3 +164,37 @@
   CHECK(Fleet.runUntil([&] { return Reader.readToEnd(2); }));
   LONGS_EQUAL(1, Reader.completeResponses());
 }
+
+// Failure: many slow readers together take more memory than a node may use,
+// since only each of them has a limit.
+TEST(SlowReader, MemoryOfManyReadersIsBounded) {
+  // As much for each of them as for 2,000 at a node with 260 MB.
+  const int Readers = readerCount();
+  node_fleet Fleet(nodeProgram());
+  Fleet.MemoryMb = std::max(32, Readers * 260 / 2'000);
+  Fleet.DeadlineMs = 60'000;
+  Fleet.RouteTimeout = "60s";
+  Fleet.putConfiguration(1);
+  for (int Server = 1; Server <= 8; ++Server) {
+    target_stand_in &Target = Fleet.addTarget(cat("s", Server));
+    Target.PaddingBytes = 540'000;
+    Target.Load = "0,0,400";
+    Fleet.listTarget(Target, "a1", "ready");
+  }
+  node_process &Node = Fleet.addNode("n1", "a1", "a");
+  Fleet.start(Node);
+  CHECK(Fleet.waitReady(Node));
+  std::vector<std::unique_ptr<slow_reader>> All;
+  for (int Reader = 0; Reader < Readers; ++Reader) {
+    All.push_back(std::make_unique<slow_reader>(Node.Callers, "/safe/x",
+                                                cat("id-", Reader)));
+    if (Reader % 10 == 0)
+      Fleet.runFor(milliseconds(5));
+  }
+  Fleet.runFor(seconds(3));
+  const double Peak = peakMemoryMb(Node);
+  UT_PRINT(cat(Readers, " readers: ", Peak, " MB of ", Fleet.MemoryMb).c_str());
+  CHECK(Peak < Fleet.MemoryMb);
+  // The node serves others meanwhile.
+  LONGS_EQUAL(200, Fleet.fetch(Node, "/safe/x", "id-other").Status);
+}
