StateSpread: an instance that was isolated stays uninformed until its state is confirmed

Cause: isUninformed() takes members that aren't suspected for members that were heard ever since the state was confirmed. When an isolation ends, all suspicions that were made in it end, too: the instance heard one other and counted as informed by ten.

Evidence: a trial with a log line for each attempt. Isolated and uninformed from 29.10 s on, the only instance alive sent one request in 1.96 s to each server, as planned; its neighbour's restart ended the isolation at 31.10 s, it logged state_confirmed with age_ms 4726 and others_down 0, and sent 8 in 0.2 s.

Change: an instance that was isolated since its state was confirmed is uninformed, as a process that has started since then is.

Why it works: what the others learned during an isolation can reach it only with state that is younger than the isolation, and then the rule no longer applies.

--- a/Libraries/Membership/contact.cpp
+++ b/Libraries/Membership/contact.cpp
@@ -106,6 +106,7 @@
 /// cut off, and probes each of them: most are likely to be alive.
 static void endIsolation(membership &Membership, instant Now) {
   Membership.IsIsolated = false;
+  Membership.IsolationEndedAt = Now;
   for (auto &[Name, Member] : Membership.Members)
     if (Member.IsSuspectedInIsolation)
       withdrawSuspicion(Membership, Name, Member, Now);
--- a/Libraries/Membership/membership.h
+++ b/Libraries/Membership/membership.h
@@ -279,6 +279,8 @@
   /// Time of the last message from any member; none before the first tick.
   std::optional<instant> LastHeard;
   bool IsIsolated = false;
+  /// End of the last isolation; none if there was none.
+  std::optional<instant> IsolationEndedAt;
   std::optional<contact_check> ContactCheck;
   status_transfer Transfer;
   /// Whether this instance has had the statuses of members from others, or has
--- a/Libraries/StateSpread/state_freshness.cpp
+++ b/Libraries/StateSpread/state_freshness.cpp
@@ -35,6 +35,9 @@
   // and what it was told of the servers is as old as the state.
   if (Inputs.SinceBootstrap < Inputs.StateAge)
     return true;
+  // So does one whose isolation has ended, though it may hear one other only.
+  if (Inputs.SinceIsolation && *Inputs.SinceIsolation < Inputs.StateAge)
+    return true;
   const auto Others = static_cast<double>(Inputs.OtherInstances);
   return Others - static_cast<double>(Inputs.InstancesDown) <
          MinHeardShare * Others;
--- a/Libraries/StateSpread/state_freshness.h
+++ b/Libraries/StateSpread/state_freshness.h
@@ -7,6 +7,7 @@
 #include "Core/core.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace amaranthhoist {
 
@@ -35,6 +36,9 @@
   std::size_t OtherInstances = 0;
   /// Those of them that count as suspected or down.
   std::size_t InstancesDown = 0;
+  /// Time since this instance was last isolated from all others; none if it
+  /// never was.
+  std::optional<duration> SinceIsolation;
 };
 
 /// Whether servers may have become cold without this instance's notice: its
--- a/Services/Node/store_sync.cpp
+++ b/Services/Node/store_sync.cpp
@@ -122,10 +122,22 @@
   queryLaterVersion();
 }
 
+/// Time since \p Membership's instance was last isolated.
+static std::optional<duration> sinceIsolation(const membership &Membership,
+                                              instant Now) {
+  if (Membership.IsIsolated)
+    return duration::zero();
+  if (!Membership.IsolationEndedAt)
+    return std::nullopt;
+  return Now - *Membership.IsolationEndedAt;
+}
+
 void store_sync::updateInformed() {
-  const informed_inputs Inputs{age(), Node.Loop.now() - BootstrappedAt,
-                               Node.Fleet.Members.size(),
-                               downMembers(Node.Fleet.Membership).size()};
+  const instant Now = Node.Loop.now();
+  const membership &Membership = Node.Fleet.Membership;
+  const informed_inputs Inputs{
+      age(), Now - BootstrappedAt, Node.Fleet.Members.size(),
+      downMembers(Membership).size(), sinceIsolation(Membership, Now)};
   const bool IsUninformed = isUninformed(Inputs);
   if (Node.Steering.IsUninformed == IsUninformed)
     return;
--- a/Tests/state_spread_test.cpp
+++ b/Tests/state_spread_test.cpp
@@ -294,3 +294,16 @@
   Inputs = {milliseconds(1'500), milliseconds(800), 73, 30};
   CHECK(!isUninformed(Inputs));
 }
+
+// Guards against the same from an instance that was isolated while the store
+// was away and hears one other again: it counts all others as up, and none of
+// them told it which servers became cold.
+TEST(StateSpread, InstancesIsolatedSinceTheStateAreUninformed) {
+  informed_inputs Inputs{seconds(5), seconds(40), 10, 0, milliseconds(100)};
+  CHECK(isUninformed(Inputs));
+  Inputs.SinceIsolation = seconds(6);
+  CHECK(!isUninformed(Inputs));
+  Inputs.SinceIsolation = milliseconds(100);
+  Inputs.StateAge = milliseconds(1'500);
+  CHECK(!isUninformed(Inputs));
+}
