HttpMessage: a head and a chunk end with their line ends only

Seen: mutated messages were complete when read whole and malformed when split, or the other way round. `\rX` ended a head; `5\r\nhello!!` was a chunk; the line of a chunk's size could end with a line feed alone. A server's response with such chunks passed for a complete one.

Cause: http-parser isn't strict in Debian's build: any byte after a carriage return ends a head, any two bytes end a chunk. hasValidLines() looked for line feeds without a carriage return, in one piece of a head at a time, not at chunks, and stopped at the second empty line, which may come before the first field.

Change: framing.h follows the lines of a head and the framing of a chunked body. The parser gets the head up to its end, which has to be the end for it too, then the body.

Why it works: both automata see each byte once, in order, however it is split, and accept CRLF alone (RFC 9112).

--- a/Libraries/HttpMessage/http_message.cpp
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -132,41 +132,8 @@
   BodyEndsAtClose = false;
   IsKeepAlive = false;
   LastWasFieldValue = true;
-  HeadBytes = 0;
-  LastByte = 0;
-  AtLineStart = false;
-  LineIsEmpty = true;
-}
-
-/// Rejects line endings without a carriage return, and folded lines. Parsers
-/// disagree on whether these end a field, so that one message could be hidden
-/// inside another (request smuggling).
-bool message_reader::hasValidLines(std::string_view Bytes) {
-  std::size_t At = 0;
-  while (At < Bytes.size()) {
-    if (AtLineStart && (Bytes[At] == ' ' || Bytes[At] == '\t'))
-      return false;
-    const std::size_t End = Bytes.find('\n', At);
-    if (End == std::string_view::npos) {
-      LineIsEmpty = LineIsEmpty && Bytes.substr(At) == "\r";
-      LastByte = Bytes.back();
-      AtLineStart = false;
-      return true;
-    }
-    const char Before = End > 0 ? Bytes[End - 1] : LastByte;
-    if (Before != '\r')
-      return false;
-    const std::string_view Line = Bytes.substr(At, End - At);
-    // The body follows and may contain any bytes.
-    if (LineIsEmpty && (Line == "\r" || Line.empty()) && HeadBytes > 0)
-      return true;
-    LineIsEmpty = true;
-    AtLineStart = true;
-    LastByte = '\n';
-    HeadBytes += End - At + 1;
-    At = End + 1;
-  }
-  return true;
+  Lines = {};
+  Chunks.reset();
 }
 
 /// Rejects framing on which two parties could disagree: more than one length, a
@@ -199,6 +166,8 @@
     return;
   }
   State = read_state::InBody;
+  if (Head.find("transfer-encoding").has_value())
+    Chunks.emplace();
   if (Head.find("content-length").has_value())
     ContentLength = Parser.content_length;
   const bool NeverHasBody =
@@ -209,23 +178,44 @@
 }
 
 std::size_t message_reader::feed(std::string_view Bytes) {
-  static const http_parser_settings Settings = callbacks::makeSettings();
   if (Bytes.empty() || State == read_state::Complete ||
       State == read_state::Malformed || State == read_state::HeadTooLarge)
     return 0;
   HasStarted = true;
-  if (State == read_state::InHead) {
-    if (!hasValidLines(Bytes)) {
-      State = read_state::Malformed;
-      return 0;
-    }
+  const std::size_t HeadBytes =
+      State == read_state::InHead ? feedHead(Bytes) : 0;
+  if (State != read_state::InBody || HeadBytes == Bytes.size())
+    return HeadBytes;
+  return HeadBytes + feedBody(Bytes.substr(HeadBytes));
+}
+
+std::size_t message_reader::feedHead(std::string_view Bytes) {
+  const auto Size = readLines(Lines, Bytes);
+  if (!Size) {
+    State = read_state::Malformed;
+    return 0;
+  }
+  const std::size_t Consumed = parse(Bytes.substr(0, *Size));
+  if (Head.Text.size() + Head.Target.size() > MaxHeadBytes)
+    State = read_state::HeadTooLarge;
+  else if (Lines.IsComplete && State == read_state::InHead)
+    State = read_state::Malformed;
+  return Consumed;
+}
+
+std::size_t message_reader::feedBody(std::string_view Bytes) {
+  if (Chunks && !readChunks(*Chunks, Bytes)) {
+    State = read_state::Malformed;
+    return 0;
   }
-  const bool WasInHead = State == read_state::InHead;
+  return parse(Bytes);
+}
+
+std::size_t message_reader::parse(std::string_view Bytes) {
+  static const http_parser_settings Settings = callbacks::makeSettings();
   const std::size_t Consumed =
       http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
   const auto Error = static_cast<http_errno>(Parser.http_errno);
-  if (WasInHead && Head.Text.size() + Head.Target.size() > MaxHeadBytes)
-    State = read_state::HeadTooLarge;
   if (Error == HPE_HEADER_OVERFLOW)
     State = read_state::HeadTooLarge;
   else if (Error != HPE_OK && Error != HPE_PAUSED)
--- a/Libraries/HttpMessage/http_message.h
+++ b/Libraries/HttpMessage/http_message.h
@@ -5,6 +5,8 @@
 /// message ends (request smuggling).
 #pragma once
 
+#include "HttpMessage/framing.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <http_parser.h>
@@ -104,7 +106,9 @@
   struct callbacks;
   friend struct callbacks;
 
-  bool hasValidLines(std::string_view Bytes);
+  std::size_t feedHead(std::string_view Bytes);
+  std::size_t feedBody(std::string_view Bytes);
+  std::size_t parse(std::string_view Bytes);
   bool hasUnambiguousFraming() const;
   void finishHead();
 
@@ -120,11 +124,9 @@
   bool BodyEndsAtClose = false;
   bool IsKeepAlive = false;
   bool LastWasFieldValue = true;
-  std::size_t HeadBytes = 0;
-  /// State of the line ending check, kept across calls of feed().
-  char LastByte = 0;
-  bool AtLineStart = false;
-  bool LineIsEmpty = true;
+  head_lines Lines;
+  /// Set if the body is chunked.
+  std::optional<chunk_framing> Chunks;
 };
 
 /// Whether \p Name is a hop-by-hop field, which is not forwarded.
--- a/Tests/http_message_test.cpp
+++ b/Tests/http_message_test.cpp
@@ -68,6 +68,34 @@
   }
 }
 
+// Failure: any byte after a carriage return ends a head, and any two bytes end
+// a chunk, so that two parties disagree on where a message ends.
+TEST(HttpMessage, RejectsIncompleteLineEnds) {
+  const std::string Head = "GET / HTTP/1.1\r\nHost: h\r\n";
+  const std::string Chunked =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Text :
+       {Head + "\rX: y\r\n\r\n", Head + "X: a\rb\r\n\r\n",
+        "\r\n\r\n" + Head + "X: y\n\r\n", Chunked + "5\rXhello\r\n0\r\n\r\n",
+        Chunked + "5\r\nhello!!0\r\n\r\n", Chunked + "5\r\nhello\r!0\r\n\r\n",
+        Chunked + "5;a\nhello\r\n0\r\n\r\n", Chunked + "5\nhello\r\n0\r\n\r\n",
+        Chunked + "0\r\nA: b\n\r\n", Chunked + "0\r\nA: b\r\n\rX",
+        Chunked + "0\r\nA: b\r\n folded\r\n\r\n", Chunked + ";a\r\n",
+        Chunked + "10000000000000000\r\n"})
+    for (std::size_t Size : {1U, 7U, 1'000U})
+      CHECK_TEXT(readRequest(Text, Size) == read_state::Malformed,
+                 Text.c_str());
+}
+
+TEST(HttpMessage, ReadsChunksWithExtensionsAndTrailers) {
+  for (std::size_t Size : {1U, 7U, 1'000U})
+    CHECK(readRequest("\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      "a;x=\"y\"\r\n01\r\n45\n789\r\n1 \r\nz\r\n0;e\r\nA: b\r\n"
+                      "C: d\r\n\r\n",
+                      Size) == read_state::Complete);
+}
+
 TEST(HttpMessage, IgnoresLineEndingsInBody) {
   CHECK(readRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
                     "a\n b") == read_state::Complete);
