Settings: a key that is no name is named as such

Seen: a file with a key such as `[*a]` got a fault without the field that is at fault: `FILE:9: : unknown field`.

Cause: rejectUnknown() named an unknown key by its text, which a list or a mapping has not.

Evidence: Tests/Fuzz/settings_fuzz_test.cpp failed before.

Change: such a key is called `(not a name)`; the line is stated as before.

--- a/Libraries/Settings/section_reader.h
+++ b/Libraries/Settings/section_reader.h
@@ -159,7 +159,7 @@
   /// default in force.
   void rejectUnknown() {
     for (const auto &Entry : Node) {
-      const auto Name = Entry.first.as<std::string>("");
+      const auto Name = Entry.first.as<std::string>("(not a name)");
       if (!KnownFields.contains(Name))
         Faults.push_back(
             {Entry.first.Mark().line + 1, Prefix + Name, "unknown field"});
