Settings: an empty key is named, too

Seen: 250,000 mutated settings files held one whose key was "": its fault named no field.

Change: a key without text is called `(not a name)`, whatever kind it is.

Measured: fuzz-tests -g SettingsFuzz.

--- a/Libraries/Settings/section_reader.h
+++ b/Libraries/Settings/section_reader.h
@@ -159,10 +159,11 @@
   /// default in force.
   void rejectUnknown() {
     for (const auto &Entry : Node) {
-      const auto Name = Entry.first.as<std::string>("(not a name)");
+      const auto Name = Entry.first.as<std::string>("");
       if (!KnownFields.contains(Name))
-        Faults.push_back(
-            {Entry.first.Mark().line + 1, Prefix + Name, "unknown field"});
+        Faults.push_back({Entry.first.Mark().line + 1,
+                          Prefix + (Name.empty() ? "(not a name)" : Name),
+                          "unknown field"});
     }
   }
 
