--- a/Libraries/Quota/holder.cpp
+++ b/Libraries/Quota/holder.cpp
@@ -123,63 +123,38 @@
     }
 }
 
-/// Takes an available token of \p Lease, first one that isn't kept.
-static spent_token takeToken(held_lease &Lease, instant Now) {
-  const bool IsImmediate = Lease.Immediate > 0;
-  Lease.Immediate -= IsImmediate ? 1 : 0;
-  --Lease.Available;
-  ++Lease.Spent;
-  return {Lease.Coordinator, Lease.Sequence, IsImmediate, Now};
-}
-
-spend_result spendToken(quota_holder &Holder, account_id Account, instant Since,
-                        instant Now) {
+quota_verdict spendToken(quota_holder &Holder, account_id Account,
+                         instant Since, instant Now) {
   held_quota *Quota = findQuota(Holder, Account);
   if (!Quota)
-    return {quota_verdict::Unknown, {}};
+    return quota_verdict::Unknown;
   passOverSilent(*Quota, Holder.Policy, Now);
   bool IsPending = false;
   bool WasAnswered = false;
   for (std::size_t Pool = 0; Pool < Quota->Leases.size(); ++Pool) {
     held_lease &Lease = Quota->Leases[Pool];
-    if (availableIn(Lease, Now) > 0)
-      return {quota_verdict::Granted, takeToken(Lease, Now)};
+    if (availableIn(Lease, Now) > 0) {
+      --Lease.Available;
+      ++Lease.Spent;
+      return quota_verdict::Granted;
+    }
     if (Pool >= Quota->Pools)
       continue;
     IsPending = IsPending || isPending(Lease, Since, Now);
     WasAnswered = WasAnswered || !Lease.IsSilent;
   }
   if (IsPending)
-    return {quota_verdict::Pending, {}};
-  return {WasAnswered ? quota_verdict::Exhausted : quota_verdict::Unknown, {}};
-}
-
-/// Whether the coordinator of \p Lease still counts \p Token as held.
-static bool isCounted(const held_lease &Lease, const spent_token &Token,
-                      instant Now) {
-  return Lease.Coordinator == Token.Coordinator &&
-         Lease.Sequence == Token.Sequence && !Token.WasImmediate &&
-         Now < Lease.Expiry;
-}
-
-bool maySpendAgain(const quota_holder &Holder, account_id Account,
-                   const spent_token &Token, instant Now) {
-  if (Now - Token.SpentAt <= Holder.Policy.RetryTime)
-    return true;
-  const auto Found = Holder.Accounts.find(Account);
-  return Found != Holder.Accounts.end() &&
-         std::any_of(
-             Found->second.Leases.begin(), Found->second.Leases.end(),
-             [&](const auto &Lease) { return isCounted(Lease, Token, Now); });
+    return quota_verdict::Pending;
+  return WasAnswered ? quota_verdict::Exhausted : quota_verdict::Unknown;
 }
 
-void returnToken(quota_holder &Holder, account_id Account,
-                 const spent_token &Token, instant Now) {
+void returnToken(quota_holder &Holder, account_id Account, instant Now) {
   held_quota *Quota = findQuota(Holder, Account);
   if (!Quota)
     return;
+  // Any lease that spent one will do: only the sum counts.
   for (held_lease &Lease : Quota->Leases)
-    if (isCounted(Lease, Token, Now)) {
+    if (Lease.Spent > 0 && Now < Lease.Expiry) {
       --Lease.Spent;
       ++Lease.Available;
       return;
@@ -190,7 +165,6 @@
                          std::uint32_t Wanted, std::uint32_t Immediate,
                          std::uint64_t Sequence, instant Now) {
   Lease.Available = availableIn(Lease, Now);
-  Lease.Immediate = 0;
   Lease.IsAsking = true;
   Lease.AskedAt = Now;
   Lease.AskedImmediate = Immediate;
@@ -263,7 +237,6 @@
   const std::uint32_t Used = std::min(Immediate, Quota->Waiting);
   Lease.Spent += Immediate - Used;
   Lease.Available += Response.Granted - Immediate + Used;
-  Lease.Immediate = Used;
   Lease.Expiry = Lease.AskedAt + Holder.Policy.Lease;
   if (Response.Granted == 0)
     Lease.DeniedAt = Now;
--- a/Libraries/Quota/quota.h
+++ b/Libraries/Quota/quota.h
@@ -14,9 +14,6 @@
 ///    includes suspends.
 ///  - A token that is granted for a request that is waiting leaves the pool at
 ///    once: the holder spends it on arrival or drops it.
-///  - A token whose request has not run may be spent again as long as its
-///    coordinator counts it as held. From then on the pool may have been
-///    refilled in its place, and only an immediate retry may use it.
 ///  - A coordinator that starts has an empty pool. Its predecessor has spent
 ///    its rate up to then, and what its holders still have is part of the
 ///    predecessor's depth. Until their leases have ended, the successor
@@ -84,11 +81,6 @@
   duration SilenceBackoff = std::chrono::milliseconds(1'500);
   /// A holder that was denied asks the same pool again no sooner.
   duration MinDenial = std::chrono::milliseconds(40);
-  /// How long after it was spent a token may pay for another attempt of its
-  /// request, although its pool has been refilled. Adds rate x RetryTime to
-  /// what is sent in a window; within the part of the bound that pools and
-  /// coordinators that start leave unused.
-  duration RetryTime = std::chrono::milliseconds(50);
 };
 
 /// Identifies an account between instances: stableHash() of its name.
@@ -184,8 +176,6 @@
   /// Tokens spent or dropped since the holder started.
   std::uint64_t Spent = 0;
   std::uint32_t Available = 0;
-  /// How many of these left the pool when they were granted.
-  std::uint32_t Immediate = 0;
   instant Expiry{};
   /// Time of the last request; its response hasn't arrived while IsAsking.
   instant AskedAt{};
@@ -238,23 +228,6 @@
   Unknown,
 };
 
-/// Identifies the grant that a spent token is from.
-struct spent_token {
-  coordinator_id Coordinator = 0;
-  /// Last request to the coordinator before the token was spent; a later one
-  /// has reported it.
-  std::uint64_t Sequence = 0;
-  /// It left the pool when it was granted.
-  bool WasImmediate = false;
-  instant SpentAt{};
-};
-
-struct spend_result {
-  quota_verdict Verdict = quota_verdict::Unknown;
-  /// The token, if the verdict is Granted.
-  spent_token Token;
-};
-
 /// Sets the coordinators of an account, the one to be asked first in front.
 void setCoordinators(quota_holder &Holder, account_id Account,
                      std::span<const coordinator_id> Coordinators, instant Now);
@@ -267,18 +240,12 @@
 
 /// Spends a token, if there is one, for a request that waits since \p Since. A
 /// pool that has granted nothing since then isn't asked again for it.
-spend_result spendToken(quota_holder &Holder, account_id Account, instant Since,
-                        instant Now);
-
-/// Returns whether the token of a request that no server has run may pay for
-/// another attempt of it.
-bool maySpendAgain(const quota_holder &Holder, account_id Account,
-                   const spent_token &Token, instant Now);
+quota_verdict spendToken(quota_holder &Holder, account_id Account,
+                         instant Since, instant Now);
 
-/// Returns the token of a request that no server has run. Dropped if its
-/// coordinator no longer counts it.
-void returnToken(quota_holder &Holder, account_id Account,
-                 const spent_token &Token, instant Now);
+/// Returns the token of a request that no server has run. Dropped if its lease
+/// has ended.
+void returnToken(quota_holder &Holder, account_id Account, instant Now);
 
 /// Plans requests for tokens that are needed now or soon.
 std::vector<outgoing_quota_request>
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -152,51 +152,39 @@
     startAttempt(**Chosen);
 }
 
-bool exchange::holdsUsableToken() {
-  // A token may wait at a server that then states that the request hasn't run.
-  HoldsToken = HoldsToken && Node.Quotas->maySpendAgain(Plan.Account, Token);
-  return HoldsToken;
-}
-
 bool exchange::acquireQuota() {
-  if (!UsesToken || holdsUsableToken())
+  if (!UsesToken || HoldsToken)
     return true;
-  const spend_result Result = Node.Quotas->acquire(Plan.Account, *this);
-  Token = Result.Token;
-  HoldsToken = Result.Verdict == quota_verdict::Granted;
-  WaitsForToken = Result.Verdict == quota_verdict::Pending;
+  const quota_verdict Verdict = Node.Quotas->acquire(Plan.Account, *this);
+  HoldsToken = Verdict == quota_verdict::Granted;
+  WaitsForToken = Verdict == quota_verdict::Pending;
   if (!HoldsToken && !WaitsForToken)
-    onQuotaVerdict(Result);
+    onQuotaVerdict(Verdict);
   return HoldsToken;
 }
 
 bool exchange::acquireRetryQuota() {
-  if (!UsesToken || holdsUsableToken())
-    return true;
-  if (const auto Held = Node.Quotas->acquireHeld(Plan.Account)) {
-    Token = *Held;
-    HoldsToken = true;
-  }
-  return HoldsToken;
+  if (UsesToken && !HoldsToken)
+    HoldsToken = Node.Quotas->acquireHeld(Plan.Account);
+  return !UsesToken || HoldsToken;
 }
 
-void exchange::onQuotaVerdict(const spend_result &Result) {
+void exchange::onQuotaVerdict(quota_verdict Verdict) {
   WaitsForToken = false;
-  if (Result.Verdict == quota_verdict::Granted) {
-    Token = Result.Token;
+  if (Verdict == quota_verdict::Granted) {
     HoldsToken = true;
     attemptNext();
     return;
   }
-  refuse(Result.Verdict == quota_verdict::Exhausted ? refusal::OverLimit
-                                                    : refusal::LimitUnknown);
+  refuse(Verdict == quota_verdict::Exhausted ? refusal::OverLimit
+                                             : refusal::LimitUnknown);
 }
 
 void exchange::releaseToken() {
   if (WaitsForToken)
     Node.Quotas->cancel(*this);
   if (HoldsToken)
-    Node.Quotas->giveBack(Plan.Account, Token);
+    Node.Quotas->giveBack(Plan.Account);
   WaitsForToken = false;
   HoldsToken = false;
 }
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -96,7 +96,7 @@
   void onBody(std::string &Body) override;
   void onComplete() override;
   void onFailure(const call_failure &Failure) override;
-  void onQuotaVerdict(const spend_result &Result) override;
+  void onQuotaVerdict(quota_verdict Verdict) override;
 
   /// Finds the request's route and sends it.
   void planAndSend();
@@ -111,9 +111,6 @@
   bool acquireQuota();
   /// Like acquireQuota() for a retry, which doesn't wait and isn't refused.
   bool acquireRetryQuota();
-  /// Whether the request holds a token that may pay for an attempt now. One
-  /// that may no longer do so is given up.
-  bool holdsUsableToken();
   /// The attempt in flight has not run, so another may use its token.
   void keepToken() { HoldsToken = UsesToken; }
   void releaseToken();
@@ -201,8 +198,6 @@
   bool UsesToken = false;
   /// A token was acquired, and no attempt that may have run has used it.
   bool HoldsToken = false;
-  /// The last token that was acquired, valid while HoldsToken or in use.
-  spent_token Token;
   bool WaitsForToken = false;
   timer_id DeadlineTimer = 0;
   timer_id ConnectTimer = 0;
--- a/Services/Node/quota_link.cpp
+++ b/Services/Node/quota_link.cpp
@@ -65,46 +65,34 @@
   countArrival(Holder, Account, Now);
 }
 
-spend_result quota_link::acquire(const std::string &Account,
-                                 quota_waiter &Waiter) {
+quota_verdict quota_link::acquire(const std::string &Account,
+                                  quota_waiter &Waiter) {
   const account_id Id = accountId(Account);
   const instant Now = event_loop::suspendAwareNow();
   countRequest(Id, Now);
   waiter_queue &Queue = Waiters[Id];
   // Those that wait already come first.
-  const spend_result Result = Queue.empty()
-                                  ? spendToken(Holder, Id, Now, Now)
-                                  : spend_result{quota_verdict::Pending, {}};
-  if (Result.Verdict == quota_verdict::Pending) {
+  quota_verdict Verdict =
+      Queue.empty() ? spendToken(Holder, Id, Now, Now) : quota_verdict::Pending;
+  if (Verdict == quota_verdict::Pending) {
     if (Queue.size() >= MaxWaiters)
-      return {quota_verdict::Unknown, {}};
+      return quota_verdict::Unknown;
     Queue.push_back({&Waiter, Now});
     setWaiting(Holder, Id, Queue.size());
   }
-  if (Result.Verdict == quota_verdict::Granted ||
-      Result.Verdict == quota_verdict::Pending)
+  if (Verdict == quota_verdict::Granted || Verdict == quota_verdict::Pending)
     plan(Id, Now);
-  return Result;
+  return Verdict;
 }
 
-std::optional<spent_token> quota_link::acquireHeld(const std::string &Account) {
+bool quota_link::acquireHeld(const std::string &Account) {
   const account_id Id = accountId(Account);
   const instant Now = event_loop::suspendAwareNow();
-  const spend_result Result = spendToken(Holder, Id, Now, Now);
-  if (Result.Verdict != quota_verdict::Granted)
-    return std::nullopt;
-  return Result.Token;
+  return spendToken(Holder, Id, Now, Now) == quota_verdict::Granted;
 }
 
-bool quota_link::maySpendAgain(const std::string &Account,
-                               const spent_token &Token) const {
-  return amaranthhoist::maySpendAgain(Holder, accountId(Account), Token,
-                                      event_loop::suspendAwareNow());
-}
-
-void quota_link::giveBack(const std::string &Account,
-                          const spent_token &Token) {
-  returnToken(Holder, accountId(Account), Token, event_loop::suspendAwareNow());
+void quota_link::giveBack(const std::string &Account) {
+  returnToken(Holder, accountId(Account), event_loop::suspendAwareNow());
 }
 
 void quota_link::cancel(quota_waiter &Waiter) {
@@ -226,16 +214,17 @@
 void quota_link::serveWaiters(account_id Account, instant Now) {
   waiter_queue &Queue = Waiters[Account];
   while (!Queue.empty()) {
-    spend_result Result = spendToken(Holder, Account, Queue.front().Since, Now);
-    if (Result.Verdict == quota_verdict::Pending) {
+    quota_verdict Verdict =
+        spendToken(Holder, Account, Queue.front().Since, Now);
+    if (Verdict == quota_verdict::Pending) {
       if (Now - Queue.front().Since < MaxWait)
         break;
-      Result.Verdict = quota_verdict::Unknown;
+      Verdict = quota_verdict::Unknown;
     }
     quota_waiter *Waiter = Queue.front().Waiter;
     Queue.pop_front();
     setWaiting(Holder, Account, Queue.size());
-    Waiter->onQuotaVerdict(Result);
+    Waiter->onQuotaVerdict(Verdict);
   }
   plan(Account, Now);
 }
--- a/Services/Node/quota_link.h
+++ b/Services/Node/quota_link.h
@@ -11,7 +11,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +22,7 @@
   virtual ~quota_waiter() = default;
   /// Called once, unless the waiter is cancelled. A token was spent for it if
   /// the verdict is Granted.
-  virtual void onQuotaVerdict(const spend_result &Result) = 0;
+  virtual void onQuotaVerdict(quota_verdict Verdict) = 0;
 };
 
 /// What an account has used here, for logs and `status`.
@@ -53,15 +52,11 @@
   [[nodiscard]] bool isLimited(const std::string &Account) const;
   /// Spends a token of the account. If the verdict is Pending, \p Waiter is
   /// called later.
-  spend_result acquire(const std::string &Account, quota_waiter &Waiter);
+  quota_verdict acquire(const std::string &Account, quota_waiter &Waiter);
   /// Spends a token if this instance has one.
-  std::optional<spent_token> acquireHeld(const std::string &Account);
-  /// Returns whether the token of a request that no server has run may pay for
-  /// another attempt of it.
-  [[nodiscard]] bool maySpendAgain(const std::string &Account,
-                                   const spent_token &Token) const;
+  bool acquireHeld(const std::string &Account);
   /// Returns the token of a request that no server has run.
-  void giveBack(const std::string &Account, const spent_token &Token);
+  void giveBack(const std::string &Account);
   void cancel(quota_waiter &Waiter);
   /// Time until an account without tokens may get one.
   [[nodiscard]] duration retryAfter(const std::string &Account) const;
--- a/Tests/Quota/quota_simulation.h
+++ b/Tests/Quota/quota_simulation.h
@@ -93,19 +93,7 @@
   void nextArrival(account_state &Account);
   double demandOf(const account_state &Account) const;
   void request(node_state &Node, account_state &Account);
-  void send(node_state &Node, account_state &Account, const spent_token &Token);
-  void scheduleRejections();
-  [[nodiscard]] bool serversReject() const {
-    return Now >= RejectionsFrom && Now < RejectionsUntil;
-  }
-  void holdAtServer(node_state &Node, account_state &Account,
-                    const spent_token &Token);
-  void onRejection(node_state &Node, account_state &Account,
-                   const spent_token &Token);
-  bool mayRetryWith(const node_state &Node, const account_state &Account,
-                    const spent_token &Token) const;
-  void giveBack(node_state &Node, account_state &Account,
-                const spent_token &Token);
+  void send(node_state &Node, account_state &Account);
   void refuse(account_state &Account);
   bool wasBelowLimit(const account_state &Account) const;
   void plan(node_state &Node, account_id Account);
@@ -125,10 +113,6 @@
 
   quota_world_options Options;
   std::mt19937_64 Random;
-  /// Draws rejections, so that the other draws don't depend on them.
-  std::mt19937_64 RejectionRandom;
-  instant RejectionsFrom{};
-  instant RejectionsUntil{};
   instant Now{};
   instant End{};
   std::uint64_t LastOrder = 0;
