HttpMessage: only valid start lines and fields make a head

Seen: a backend server in trouble sent the status 000, and the caller got it as a response: status 0, reason `<unknown>`, the server's body and signature. The same with 001, 042, 099, 600, 999, 20 and `2 0`, and with HTTP/2.0 and HTTP/0.9 as the version.

Cause: http-parser takes any digits for a status, any version, an empty Content-Length, and control bytes in a value; the reader looked at names for blanks only, after the head.

Change: head_grammar follows start line and fields byte by byte, before http-parser sees them: a status of three digits from 100 to 599, HTTP/1.x, names of token bytes, values without control bytes. A Content-Length must be a number, and chunks need HTTP/1.1. A status without a standard reason is sent without one.

Why it works: every head that the node reads, from callers, servers, peers and the store, passes through this reader, and so do those of the stand-ins. A malformed head fails the attempt like other malformed bytes: it is sent again, or answered with 502.

--- a/Libraries/HttpMessage/framing.cpp
+++ b/Libraries/HttpMessage/framing.cpp
@@ -9,13 +9,15 @@
 
 static bool isBlank(char Byte) { return Byte == ' ' || Byte == '\t'; }
 
-/// Called at the end of a line.
-static void endLine(head_lines &Lines) {
+/// Called at the end of a line. Returns whether it may end there.
+static bool endLine(head_lines &Lines) {
+  const bool IsEmpty = Lines.LineLength == 0;
   Lines.ExpectsLineFeed = false;
   // Empty lines may come before the first one (RFC 9112, 2.2).
-  Lines.IsComplete = Lines.LineLength == 0 && Lines.HasStartLine;
-  Lines.HasStartLine = Lines.HasStartLine || Lines.LineLength > 0;
+  Lines.IsComplete = IsEmpty && Lines.HasStartLine;
+  Lines.HasStartLine = Lines.HasStartLine || !IsEmpty;
   Lines.LineLength = 0;
+  return IsEmpty || endHeadLine(Lines.Grammar);
 }
 
 std::optional<std::size_t> readLines(head_lines &Lines,
@@ -25,13 +27,14 @@
     if (Lines.ExpectsLineFeed != (Byte == '\n'))
       return std::nullopt;
     if (Byte == '\n') {
-      endLine(Lines);
+      if (!endLine(Lines))
+        return std::nullopt;
       if (Lines.IsComplete)
         return At + 1;
     } else if (Byte == '\r') {
       Lines.ExpectsLineFeed = true;
     } else {
-      if (Lines.LineLength == 0 && Lines.HasStartLine && isBlank(Byte))
+      if (!readHeadByte(Lines.Grammar, Byte))
         return std::nullopt;
       ++Lines.LineLength;
     }
--- a/Libraries/HttpMessage/framing.h
+++ b/Libraries/HttpMessage/framing.h
@@ -5,6 +5,8 @@
 /// bytes may come in pieces of any size.
 #pragma once
 
+#include "HttpMessage/head_grammar.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -14,6 +16,7 @@
 
 /// Follows the lines of a head.
 struct head_lines {
+  head_grammar Grammar;
   std::size_t LineLength = 0;
   bool HasStartLine = false;
   bool ExpectsLineFeed = false;
@@ -22,7 +25,7 @@
 
 /// Reads \p Bytes up to the end of the head, which sets IsComplete. Returns how
 /// many belong to the head; none for a line end without a carriage return or
-/// without a line feed, or for a folded line.
+/// without a line feed, or for a line that the grammar doesn't allow.
 std::optional<std::size_t> readLines(head_lines &Lines, std::string_view Bytes);
 
 /// Follows the framing of a chunked body and its trailer.
--- a/Libraries/HttpMessage/http_message.cpp
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -9,6 +9,9 @@
 
 namespace amaranthhoist {
 
+/// What http-parser returns for a status that it doesn't know.
+static constexpr std::string_view UnknownPhrase = "<unknown>";
+
 message_head::field message_head::fieldAt(std::size_t Index) const {
   const span &Span = Spans[Index];
   const std::string_view All = Text;
@@ -133,6 +136,7 @@
   IsKeepAlive = false;
   LastWasFieldValue = true;
   Lines = {};
+  Lines.Grammar.Kind = Kind;
   Chunks.reset();
 }
 
@@ -144,17 +148,15 @@
     return false;
   const auto Coding = Head.find("transfer-encoding");
   if (Coding) {
-    if (Head.count("transfer-encoding") > 1 ||
+    // Chunks need HTTP/1.1 (RFC 9112, 6.1).
+    if (Parser.http_minor == 0 || Head.count("transfer-encoding") > 1 ||
         Head.find("content-length").has_value() ||
         !equalsIgnoringCase(*Coding, "chunked"))
       return false;
   }
-  for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
-    const std::string_view Name = Head.fieldAt(Index).Name;
-    if (Name.empty() || Name.find(' ') != std::string_view::npos)
-      return false;
-  }
-  return true;
+  // http-parser takes an empty value for no length.
+  const auto Length = Head.find("content-length");
+  return !Length || parseNumber<std::uint64_t>(*Length).has_value();
 }
 
 void message_reader::finishHead() {
@@ -265,7 +267,9 @@
 }
 
 std::string_view reasonPhrase(int Status) {
-  return http_status_str(static_cast<http_status>(Status));
+  const std::string_view Phrase =
+      http_status_str(static_cast<http_status>(Status));
+  return Phrase == UnknownPhrase ? std::string_view() : Phrase;
 }
 
 void appendField(std::string &Text, std::string_view Name,
--- a/Libraries/HttpMessage/http_message.h
+++ b/Libraries/HttpMessage/http_message.h
@@ -55,8 +55,6 @@
   int Status = 0;
 };
 
-enum class message_kind : std::uint8_t { Request, Response };
-
 enum class read_state : std::uint8_t {
   /// The head is incomplete.
   InHead,
@@ -139,7 +137,7 @@
 /// than a non-negative finite number, such as a date.
 std::optional<double> retryAfterSeconds(const message_head &Head);
 
-/// Returns the standard reason phrase of a status code.
+/// Returns the standard reason phrase of a status code; empty if it has none.
 std::string_view reasonPhrase(int Status);
 /// Appends `Name: Value` and a line ending.
 void appendField(std::string &Text, std::string_view Name,
--- a/Tests/NodeProcesses/stand_in_server.cpp
+++ b/Tests/NodeProcesses/stand_in_server.cpp
@@ -67,9 +67,15 @@
 
 void stand_in_connection::respond(int Status, std::string_view Fields,
                                   std::string_view AnswerBody) {
-  Stream.write(cat("HTTP/1.1 ", Status, " ", reasonPhrase(Status), "\r\n",
-                   Fields, "Content-Length: ", AnswerBody.size(), "\r\n\r\n",
-                   AnswerBody));
+  respond(cat("HTTP/1.1 ", Status, " ", reasonPhrase(Status)), Fields,
+          AnswerBody);
+}
+
+void stand_in_connection::respond(std::string_view StatusLine,
+                                  std::string_view Fields,
+                                  std::string_view AnswerBody) {
+  Stream.write(cat(StatusLine, "\r\n", Fields, "Content-Length: ",
+                   AnswerBody.size(), "\r\n\r\n", AnswerBody));
   Reader.reset();
 }
 
--- a/Tests/NodeProcesses/stand_in_server.h
+++ b/Tests/NodeProcesses/stand_in_server.h
@@ -33,6 +33,9 @@
   void send(std::string_view Bytes) { Stream.write(Bytes); }
   /// Sends a response and reads the next request.
   void respond(int Status, std::string_view Fields, std::string_view Body);
+  /// The same with any status line.
+  void respond(std::string_view StatusLine, std::string_view Fields,
+               std::string_view Body);
   void pause() { Stream.pause(); }
   void resume() { Stream.resume(); }
   void close() { Stream.close(); }
--- a/Tests/NodeProcesses/target_stand_in.cpp
+++ b/Tests/NodeProcesses/target_stand_in.cpp
@@ -138,7 +138,10 @@
   switch (Behavior) {
   case behavior::Normal:
   case behavior::Sheds:
-    Connection->respond(Status, Fields, Body);
+    if (StatusLine.empty())
+      Connection->respond(Status, Fields, Body);
+    else
+      Connection->respond(StatusLine, Fields, Body);
     return;
   case behavior::ClosesAfterResponse:
     Connection->respond(200, Fields, Body);
--- a/Tests/NodeProcesses/target_stand_in.h
+++ b/Tests/NodeProcesses/target_stand_in.h
@@ -50,6 +50,8 @@
   duration Work = std::chrono::milliseconds(20);
   /// Status of responses to executed requests.
   int Status = 200;
+  /// Replaces the status line of such responses; empty: nothing is replaced.
+  std::string StatusLine;
   /// Bytes that are added to the body of a response.
   std::size_t PaddingBytes = 0;
   /// Load reported in responses: running, waiting, slots.
--- a/Tests/http_message_test.cpp
+++ b/Tests/http_message_test.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace amaranthhoist;
 
@@ -12,8 +14,9 @@
 
 constexpr std::size_t HeadLimit = 4'096;
 
-read_state readRequest(std::string_view Text, std::size_t PieceSize = 1'000) {
-  message_reader Reader(message_kind::Request, HeadLimit);
+read_state readMessage(message_kind Kind, std::string_view Text,
+                       std::size_t PieceSize) {
+  message_reader Reader(Kind, HeadLimit);
   while (!Text.empty()) {
     const std::string_view Piece = Text.substr(0, PieceSize);
     const std::size_t Consumed = Reader.feed(Piece);
@@ -24,6 +27,33 @@
   return Reader.state();
 }
 
+read_state readRequest(std::string_view Text, std::size_t PieceSize = 1'000) {
+  return readMessage(message_kind::Request, Text, PieceSize);
+}
+
+void checkResponse(const std::string &Text, read_state Wanted) {
+  for (std::size_t Size : {1U, 7U, 1'000U})
+    CHECK_TEXT(readMessage(message_kind::Response, Text, Size) == Wanted,
+               Text.c_str());
+}
+
+/// Field lines of which no party may make sense, without their line end.
+std::vector<std::string> invalidFields() {
+  std::vector<std::string> Fields = {": x", "no colon", "X", "X :y", "X\t: y"};
+  for (int Byte = 0; Byte < 256; ++Byte) {
+    const char Character = static_cast<char>(Byte);
+    const bool IsControl = Byte < 0x20 || Byte == 0x7f;
+    const bool IsSeparator =
+        std::string_view(" \"(),/;<=>?@[\\]{}").find(Character) !=
+        std::string_view::npos;
+    if (IsControl || IsSeparator || Byte >= 0x80)
+      Fields.push_back(std::string("X") + Character + "Y: v");
+    if (IsControl && Character != '\t')
+      Fields.push_back(std::string("X: a") + Character + "b");
+  }
+  return Fields;
+}
+
 } // namespace
 
 // clang-format off
@@ -96,6 +126,79 @@
                       Size) == read_state::Complete);
 }
 
+// Failure: a response with a status that is none, or of a version that isn't
+// spoken, passes for a valid one.
+TEST(HttpMessage, RejectsInvalidStatusLines) {
+  for (const char *Line : {"HTTP/1.1 000 No",     "HTTP/1.1 001 No",
+                           "HTTP/1.1 042 No",     "HTTP/1.1 099 No",
+                           "HTTP/1.1 600 No",     "HTTP/1.1 999 No",
+                           "HTTP/1.1 20 OK",      "HTTP/1.1 2 0",
+                           "HTTP/1.1 2000 OK",    "HTTP/1.1  200",
+                           "HTTP/1.1 -20 OK",     "HTTP/1.1 2x0 OK",
+                           "HTTP/1.1 ",           "HTTP/1.1",
+                           "HTTP/2.0 200 OK",     "HTTP/0.9 200 OK",
+                           "HTTP/1 200 OK",       "HTTP/1.10 200 OK",
+                           "HTTP/11.1 200 OK",    "http/1.1 200 OK",
+                           "HTTP/1.1\t200 OK",    "HTTP/1.1 200\tOK",
+                           "HTTP/1.1 200 a\x01z", " HTTP/1.1 200 OK",
+                           "ICY 200 OK",          "200 OK"})
+    checkResponse(std::string(Line) + "\r\nContent-Length: 0\r\n\r\n",
+                  read_state::Malformed);
+}
+
+TEST(HttpMessage, AcceptsAllStatusCodes) {
+  for (int Status = 200; Status < 600; ++Status)
+    for (const char *Reason : {"", " ", " Any Reason", " caf\xc3\xa9"})
+      checkResponse("HTTP/1.1 " + std::to_string(Status) + Reason +
+                        "\r\nContent-Length: 0\r\n\r\n",
+                    read_state::Complete);
+  checkResponse("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+                read_state::Complete);
+}
+
+// Failure: a field whose name holds a blank or a control byte, or whose value
+// holds a control byte, is passed on, or hides the length of the body.
+TEST(HttpMessage, RejectsInvalidFields) {
+  for (const std::string &Field : invalidFields()) {
+    checkResponse("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + Field +
+                      "\r\n\r\n",
+                  read_state::Malformed);
+    for (std::size_t Size : {1U, 7U, 1'000U})
+      CHECK(readRequest("GET / HTTP/1.1\r\nHost: h\r\n" + Field + "\r\n\r\n",
+                        Size) == read_state::Malformed);
+  }
+}
+
+// Failure: a length that is no number passes for one, or for none.
+TEST(HttpMessage, RejectsInvalidLengths) {
+  for (const char *Length : {"", "+1", "-1", "1 1", "1,1", "0x1", "1.0", "a",
+                             "18446744073709551616"})
+    checkResponse(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + Length +
+                      "\r\n\r\na",
+                  read_state::Malformed);
+  checkResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "0\r\n\r\n",
+                read_state::Malformed);
+}
+
+// Failure: a request line of another version, or with other blanks, passes.
+TEST(HttpMessage, RejectsInvalidRequestLines) {
+  for (const char *Line :
+       {"GET / HTTP/2.0", "GET / HTTP/0.9", "GET / HTTP/1", "GET /",
+        "GET  / HTTP/1.1", "GET /  HTTP/1.1", "GET / HTTP/1.1 ",
+        "GET\t/ HTTP/1.1", "GET /a b HTTP/1.1", "GET /\x01 HTTP/1.1",
+        " GET / HTTP/1.1", "GE T / HTTP/1.1", "GET / http/1.1"})
+    for (std::size_t Size : {1U, 7U, 1'000U})
+      CHECK_TEXT(readRequest(std::string(Line) + "\r\nHost: h\r\n\r\n", Size) ==
+                     read_state::Malformed,
+                 Line);
+}
+
+TEST(HttpMessage, StatusesWithoutAStandardReasonHaveNone) {
+  CHECK(reasonPhrase(200) == "OK");
+  CHECK(reasonPhrase(299).empty());
+}
+
 TEST(HttpMessage, IgnoresLineEndingsInBody) {
   CHECK(readRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
                     "a\n b") == read_state::Complete);
