Http: a malformed response head is no complete response

Seen: the daemons passed responses with the status 600 or 999, or with a field whose name holds a blank or a control byte, on as complete.

Cause: libcurl accepts any status of three digits and any name of a field, and the client took what it reported.

Evidence: `unit-tests -g Http`, ReportsAMalformedHeadAsBroken failed on the former code, at the status 600 (libcurl itself rejects 000 and 099).

Change: each line that libcurl reports, of interim heads and trailers, too, is checked by the reader's grammar; a malformed one ends the call as broken.

Why it works: one place (HttpMessage) decides what a valid head is, and a broken call may have run, which is what such a response shows.

Measured: the six tests of Http pass.

--- a/Libraries/Http/client.cpp
+++ b/Libraries/Http/client.cpp
@@ -1,5 +1,7 @@
 #include "Http/http.h"
 
+#include "HttpMessage/framing.h"
+
 #include <absl/strings/ascii.h>
 #include <algorithm>
 #include <curl/curl.h>
@@ -14,6 +16,8 @@
   http_call_result &Result;
   CURL *Handle;
   bool HeadSeen = false;
+  head_lines Lines{};
+  bool IsMalformed = false;
 };
 
 } // namespace
@@ -32,14 +36,29 @@
 
 http_client::~http_client() { curl_easy_cleanup(Handle); }
 
+/// Checks a line of a head or of a trailer, of which libcurl accepts malformed
+/// ones: any status of three digits, and any name of a field.
+static bool isValidLine(running_call &Running, std::string_view Line) {
+  // Fields after the head are those of a trailer.
+  Running.Lines.IsComplete = false;
+  return readLines(Running.Lines, Line) == Line.size();
+}
+
 static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                             void *Closure) {
   auto &Running = *static_cast<running_call *>(Closure);
   const std::string_view Line(Data, Size * Count);
   // Each response head begins with a status line. The head of an interim
   // response is replaced.
-  if (Line.starts_with("HTTP/"))
+  if (Line.starts_with("HTTP/")) {
     Running.Result.Headers.clear();
+    Running.Lines = {};
+    Running.Lines.Grammar.Kind = message_kind::Response;
+  }
+  if (!isValidLine(Running, Line)) {
+    Running.IsMalformed = true;
+    return 0;
+  }
   const std::size_t Colon = Line.find(':');
   if (Colon != std::string_view::npos)
     Running.Result
@@ -164,6 +183,10 @@
     announceHead(Running);
   else
     Result.Error = curl_easy_strerror(Code);
+  if (Running.IsMalformed) {
+    Result.End = call_end::Broken;
+    Result.Error = "malformed response head";
+  }
   // libcurl reports a connect timeout like any other timeout. Without a
   // connection no byte was sent.
   double Connected = 0;
