EventLoop: a timer that is due at once runs in the next iteration

Seen: nothing yet; work that is put off by a timer of zero delay would keep the node from all callers.

Cause: runTimers() went on while one was due, and a timer that is added meanwhile with no delay is due in the same iteration. Retired objects aren't destroyed until it ends, either.

Evidence: `unit-tests -sg EventLoop` on the former code: 100 such timers in 1 iteration.

Change: an iteration runs the timers that existed when it began to run them. A negative delay counts as none, so that later timers come last.

Why it works: timers are ordered by time, then by number, and those added meanwhile have higher numbers and no earlier time.

Measured: 100 timers in 100 iterations.

--- a/Libraries/EventLoop/event_loop.cpp
+++ b/Libraries/EventLoop/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "EventLoop/event_loop.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <ctime>
@@ -60,7 +61,8 @@
 
 timer_id event_loop::runAfter(duration Delay, std::function<void()> Function) {
   const timer_id Timer = ++LastTimerId;
-  const instant Time = Now + Delay;
+  // A time in the past would place it before timers that are due already.
+  const instant Time = Now + std::max(Delay, duration::zero());
   Timers.emplace(timer_key(Time, Timer), std::move(Function));
   TimerDeadlines.emplace_hint(TimerDeadlines.end(), Timer, Time);
   return Timer;
@@ -97,7 +99,11 @@
 }
 
 void event_loop::runTimers() {
-  while (!Timers.empty() && Timers.begin()->first.first <= Now) {
+  // Those added from now on run in a later iteration, even if they are due at
+  // once. Otherwise, one that adds the next would keep the loop from all else.
+  const timer_id Last = LastTimerId;
+  while (!Timers.empty() && Timers.begin()->first.first <= Now &&
+         Timers.begin()->first.second <= Last) {
     auto Node = Timers.extract(Timers.begin());
     TimerDeadlines.erase(Node.key().second);
     Node.mapped()();
--- a/Libraries/EventLoop/event_loop.h
+++ b/Libraries/EventLoop/event_loop.h
@@ -64,7 +64,8 @@
   /// the current iteration.
   void unwatch(int Descriptor);
 
-  /// Schedules a single call of \p Function after \p Delay.
+  /// Schedules a single call of \p Function after \p Delay, in a later iteration
+  /// than the present one.
   timer_id runAfter(duration Delay, std::function<void()> Function);
   /// Schedules repeated calls of \p Function, the first after one \p Period.
   void runEvery(duration Period, std::function<void()> Function);
