Node: requests sent ahead take turns, and wait in the kernel

Seen: callers that send many requests ahead, at paths that no route has, and read nothing ended a node: it ran out of memory. Others got no response meanwhile.

Cause: two together. A refused request ends within the call that parsed it, so that one backlog made thousands of slots and exchanges in one iteration of the event loop, and retired objects are destroyed only at its end. And reading was resumed whenever a response had ended or was flushed, whatever the backlog held: each finished response let 32 KB more in and took one request of some 100 bytes from it.

Evidence: the new `node-crowd-tests`, a node of 48 MB and 1,200 descriptors beside 40 connections that send 4 MB each and read nothing. With the former node 11 of 13 tests of CrowdAtCallers and both of CrowdAtPeers failed; peak memory: path without a route 196 MB, unknown host 259, no account 196, beyond an account's limit 97, no time left 127, HTTP/1.0 187, bodies 244, large responses 78, non-idempotent 184, peers 98 and 75. Two held before: requests behind a last one, and requests that end their connection.

Change: a connection begins at most 8 requests in one iteration (limits.requests_per_turn); those behind them wait in a queue of which 16 connections go on in each. Reading is paused and resumed in one place, by the size of the backlog alone. A stream reads at most 512 KB in one iteration. Bytes behind a connection's last request are dropped.

Why it works: what a connection causes in one iteration has a bound whatever it sends, the rest waits in the kernel's buffers, where it holds the sender back, and events of others come in between. A caller within the operators' limits doesn't meet it: as many requests as that are served concurrently on one connection.

Measured: the same tests, peak of all but two 7 to 11 MB; large responses 34 MB (peers: 30), of which a quarter of the memory limit is for responses. An ordinary request, a look-up and a query of the readiness are answered beside each crowd and after it.

--- a/Libraries/EventLoop/event_loop.cpp
+++ b/Libraries/EventLoop/event_loop.cpp
@@ -122,6 +122,7 @@
     const int Count =
         epoll_wait(EpollDescriptor, Events.data(), MaxEvents, epollTimeoutMs());
     refreshNow();
+    ++Iteration;
     for (int Index = 0; Index < Count; ++Index) {
       const epoll_event &Event = Events[static_cast<std::size_t>(Index)];
       const auto Descriptor = static_cast<std::uint32_t>(Event.data.u64);
--- a/Libraries/EventLoop/event_loop.h
+++ b/Libraries/EventLoop/event_loop.h
@@ -53,6 +53,9 @@
   /// The monotonic time at which the current iteration of the loop started.
   [[nodiscard]] instant now() const { return Now; }
 
+  /// Number of the current iteration, for limits on the work of one.
+  [[nodiscard]] std::uint64_t iteration() const { return Iteration; }
+
   /// The present time on a clock that, unlike now(), includes the time during
   /// which the instance was suspended.
   [[nodiscard]] static instant suspendAwareNow();
@@ -64,8 +67,8 @@
   /// the current iteration.
   void unwatch(int Descriptor);
 
-  /// Schedules a single call of \p Function after \p Delay, in a later iteration
-  /// than the present one.
+  /// Schedules a single call of \p Function after \p Delay, in a later
+  /// iteration than the present one.
   timer_id runAfter(duration Delay, std::function<void()> Function);
   /// Schedules repeated calls of \p Function, the first after one \p Period.
   void runEvery(duration Period, std::function<void()> Function);
@@ -100,6 +103,7 @@
   int EpollDescriptor = -1;
   bool Stopping = false;
   instant Now{};
+  std::uint64_t Iteration = 0;
   /// Indexed by file descriptor.
   std::vector<registration> Registrations;
   std::map<timer_key, std::function<void()>> Timers;
--- a/Libraries/EventLoop/stream.cpp
+++ b/Libraries/EventLoop/stream.cpp
@@ -12,6 +12,9 @@
 /// Size of the read buffer in bytes. It is on the stack, since an owner may
 /// resume another stream from within its callback.
 static constexpr std::size_t ReadSize = 32'768;
+/// Reads of one stream in one iteration of the loop. A peer that sends as fast
+/// as its bytes are read would keep the loop from all others.
+static constexpr int MaxReadsPerIteration = 16;
 /// A piece of the write buffer that is shorter than this takes further bytes.
 static constexpr std::size_t SmallPieceSize = 4'096;
 
@@ -29,6 +32,7 @@
 void stream::close() {
   if (Descriptor < 0)
     return;
+  Loop.cancel(ReadTimer);
   Loop.unwatch(Descriptor);
   ::close(Descriptor);
   Descriptor = -1;
@@ -37,6 +41,7 @@
 void stream::closeWithReset() {
   if (Descriptor < 0)
     return;
+  Loop.cancel(ReadTimer);
   Loop.unwatch(Descriptor);
   amaranthhoist::closeWithReset(Descriptor);
   Descriptor = -1;
@@ -109,10 +114,19 @@
 
 void stream::resume() {
   IsReadingPaused = false;
-  if (HasUnreadInput)
+  if (HasUnreadInput && ReadTimer == 0)
     readAll(PeerDisconnected);
 }
 
+void stream::readLater() {
+  HasUnreadInput = true;
+  if (ReadTimer == 0)
+    ReadTimer = Loop.runAfter(duration::zero(), [this] {
+      ReadTimer = 0;
+      readAll(PeerDisconnected);
+    });
+}
+
 bool stream::checkPeer(duration AckTimeout) {
   const auto Progress =
       Descriptor < 0 ? std::nullopt : readSendProgress(Descriptor);
@@ -144,11 +158,15 @@
 void stream::readAll(bool UntilEof) {
   std::array<char, ReadSize> Buffer; // NOLINT(*-member-init): recv fills it
   HasUnreadInput = false;
-  while (Descriptor >= 0) {
+  for (int Reads = 0; Descriptor >= 0; ++Reads) {
     if (IsReadingPaused) {
       HasUnreadInput = true;
       return;
     }
+    if (Reads == MaxReadsPerIteration) {
+      readLater();
+      return;
+    }
     const ssize_t Count = recv(Descriptor, Buffer.data(), Buffer.size(), 0);
     if (Count == 0) {
       disconnect(IsLost ? disconnect_reason::ConnectionLost
@@ -187,7 +205,8 @@
     HasPeerFinished = true;
   if (Event.Writable && pendingBytes() > 0)
     flush();
-  if (Descriptor >= 0 && (Event.Readable || Event.Disconnected))
+  if (Descriptor >= 0 && ReadTimer == 0 &&
+      (Event.Readable || Event.Disconnected))
     readAll(PeerDisconnected);
 }
 
--- a/Libraries/EventLoop/stream.h
+++ b/Libraries/EventLoop/stream.h
@@ -81,6 +81,8 @@
 
 private:
   void readAll(bool UntilEof);
+  /// Goes on to read in the next iteration of the loop.
+  void readLater();
   /// Returns the number of bytes that the kernel accepted.
   std::size_t sendBytes(std::string_view Bytes);
   void buffer(std::string_view Bytes);
@@ -93,6 +95,7 @@
   bool IsConnected = false;
   bool IsReadingPaused = false;
   bool HasUnreadInput = false;
+  timer_id ReadTimer = 0;
   bool PeerDisconnected = false;
   /// The peer has finished its stream, and the connection was intact then.
   bool HasPeerFinished = false;
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -74,6 +74,9 @@
   std::int64_t MemoryMb = 256;
   /// File descriptors that this node may use.
   std::int64_t FileDescriptors = 1'024;
+  /// Requests of one connection that are begun in one iteration of the event
+  /// loop; those behind them wait for the next.
+  std::int64_t RequestsPerTurn = 8;
   node_bounds Bounds;
   /// How far requests with large bodies stay in the failure domain of the node
   /// that serves them, 0 to 1. The rest keeps the other servers of the region
--- a/Libraries/NodeSettings/settings_reload.cpp
+++ b/Libraries/NodeSettings/settings_reload.cpp
@@ -60,6 +60,9 @@
   Visit(
       "limits.file_descriptors", Reload,
       [](auto &S) -> auto & { return S.FileDescriptors; });
+  Visit(
+      "limits.requests_per_turn", Reload,
+      [](auto &S) -> auto & { return S.RequestsPerTurn; });
   Visit(
       "placement.bulk_locality", Reload,
       [](auto &S) -> auto & { return S.BulkLocality; });
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -35,6 +35,7 @@
 
 caller_connection::~caller_connection() {
   Node.Loop.cancel(Timer);
+  Node.Turns.cancel(Turn);
   releaseBody();
 }
 
@@ -114,6 +115,7 @@
 
 void caller_connection::onDisconnect(disconnect_reason /*End*/) {
   Node.Loop.cancel(Timer);
+  Node.Turns.cancel(Turn);
   dropRequests();
   Server.retire(*this);
 }
@@ -142,10 +144,10 @@
   if (IsClosing)
     return;
   LastBytesAt = Node.Loop.now();
-  Backlog.append(Bytes);
+  // No request behind the last one is served.
+  if (!isLastRequestTaken())
+    Backlog.append(Bytes);
   processBacklog();
-  if (!IsClosing && Backlog.size() > MaxBacklogBytes)
-    Stream.pause();
 }
 
 void caller_connection::onFlushed() {
@@ -158,7 +160,6 @@
   else if (!Reader.hasStarted())
     setTimer(limits().IdleTimeout, &caller_connection::onIdleTimeout);
   // Requests may wait because of the unsent bytes.
-  Stream.resume();
   processBacklog();
 }
 
@@ -168,9 +169,13 @@
   Memory.set(Stream.pendingBytes());
 }
 
+bool caller_connection::isLastRequestTaken() const {
+  return IsLastRequestRead || DeferredRejection.has_value();
+}
+
 /// Returns whether the next request may be parsed while others are served.
 bool caller_connection::mayReadNext() const {
-  if (IsClosing || IsLastRequestRead || DeferredRequest || DeferredRejection)
+  if (IsClosing || DeferredRequest || isLastRequestTaken())
     return false;
   if (!Reader.hasStarted() &&
       Stream.pendingBytes() > unsentAllowance(Node.ResponseMemory))
@@ -184,19 +189,60 @@
 }
 
 void caller_connection::processBacklog() {
+  // Responses may end, and this be called, while a request is begun.
   if (IsReading)
     return;
-  IsReading = true;
+  if (Turn == 0) {
+    IsReading = true;
+    takeRequests();
+    IsReading = false;
+  }
+  if (!IsClosing)
+    updateReading();
+}
+
+/// A caller may send far more requests at once than it may expect to be served.
+/// Each that is begun needs memory until the iteration ends, even if it is
+/// refused at once, and keeps the loop from other callers.
+void caller_connection::takeRequests() {
+  if (BegunIn != Node.Loop.iteration()) {
+    BegunIn = Node.Loop.iteration();
+    Begun = 0;
+  }
   std::size_t Taken = 0;
   while (Taken < Backlog.size() && mayReadNext()) {
+    if (Begun >= Node.Settings.RequestsPerTurn) {
+      waitForTurn();
+      break;
+    }
     const std::size_t Consumed =
         feedReader(std::string_view(Backlog).substr(Taken));
     Taken += Consumed;
     if (Consumed == 0)
       break;
+    Begun += Reader.hasStarted() ? 0 : 1;
   }
-  Backlog.erase(0, Taken);
-  IsReading = false;
+  if (IsClosing || isLastRequestTaken())
+    Backlog.clear();
+  else
+    Backlog.erase(0, Taken);
+}
+
+void caller_connection::waitForTurn() {
+  Node.Metrics.incrementCounter("amaranthhoist_request_turns_total");
+  Turn = Node.Turns.add([this] {
+    Turn = 0;
+    processBacklog();
+  });
+}
+
+/// Reads on only while little is buffered. Reading detects when the caller
+/// disconnects.
+void caller_connection::updateReading() {
+  if (Backlog.size() > MaxBacklogBytes)
+    Stream.pause();
+  else
+    Stream.resume();
 }
 
 std::size_t caller_connection::feedReader(std::string_view Bytes) {
@@ -393,7 +439,6 @@
   }
   if (Slots.empty())
     onAllResponsesSent();
-  Stream.resume();
   processBacklog();
 }
 
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -52,8 +52,14 @@
   bool keepsAliveAfter(const response_slot &Slot) override;
   void onFirstDone() override;
 
+  /// Begins requests that are buffered, and reads more.
   void processBacklog();
+  void takeRequests();
+  void waitForTurn();
+  void updateReading();
   [[nodiscard]] bool mayReadNext() const;
+  /// Whether nothing behind the requests read so far is served.
+  [[nodiscard]] bool isLastRequestTaken() const;
   /// Feeds \p Bytes to the reader. Returns the number of bytes consumed.
   std::size_t feedReader(std::string_view Bytes);
   bool handleHead();
@@ -97,7 +103,13 @@
   std::optional<caller_request> DeferredRequest;
   /// Status of a rejection that waits for the earlier responses.
   std::optional<int> DeferredRejection;
+  /// Bytes that were read and not parsed.
   std::string Backlog;
+  /// Set while buffered requests wait for their turn.
+  turn_id Turn = 0;
+  /// Requests begun in the iteration of the loop with this number.
+  std::int64_t Begun = 0;
+  std::uint64_t BegunIn = 0;
   unsent_responses Unsent;
   memory_share Memory;
   /// Bytes in the write buffer when the wait for the caller began.
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -4,6 +4,7 @@
 
 #include "EventLog/event_log.h"
 #include "EventLoop/event_loop.h"
+#include "EventLoop/turn_queue.h"
 #include "Fleet/fleet.h"
 #include "Forwarding/forwarding.h"
 #include "HttpConnection/client_connection.h"
@@ -80,10 +81,15 @@
   bool operator==(const request_counts &) const = default;
 };
 
+/// Connections whose buffered requests go on in one iteration of the loop.
+inline constexpr std::size_t TurnsPerIteration = 16;
+
 struct node {
   node(node_settings Settings, const wire_names &Wire);
 
   event_loop Loop;
+  /// For connections that send many requests ahead.
+  turn_queue Turns{Loop, TurnsPerIteration};
   node_settings Settings;
   wire_names Wire;
   event_log Log;
--- /dev/null
+++ b/Tests/NodeProcesses/crowd_test.cpp
@@ -0,0 +1,194 @@
+// Tests callers that send requests ahead and read none of the responses, at
+// each listener of a node.
+
+#include "Text/text.h"
+#include "crowd_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+
+using namespace amaranthhoist;
+using behavior = target_stand_in::behavior;
+
+namespace {
+
+constexpr std::size_t Megabyte = 1'000'000;
+constexpr const char *NoRoute = "GET /none/x";
+
+/// Requests sent ahead by some callers with much each, and by many with less.
+void checkRequestsAhead(crowd_fleet &Fleet, const std::string &Address,
+                        const std::string &Request, const char *Name) {
+  CHECK(Fleet.begin());
+  Fleet.checkBeside({Address, 40, {}, Request, 4 * Megabyte}, Name);
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(CrowdAtCallers) {};
+TEST_GROUP(CrowdAtPeers) {};
+// clang-format on
+
+// Failure: requests that are refused early, sent ahead, fill the memory.
+TEST(CrowdAtCallers, PathsWithoutRoute) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(Fleet, Fleet.Node->Callers, crowdRequest(NoRoute),
+                     "path without a route");
+}
+
+// Failure: the same for a host that no route has.
+TEST(CrowdAtCallers, UnknownHosts) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(
+      Fleet, Fleet.Node->Callers,
+      "GET /safe/x HTTP/1.1\r\nHost: other.example\r\nX-Attempt-Id: c\r\n\r\n",
+      "unknown host");
+}
+
+// Failure: the same before the first configuration.
+TEST(CrowdAtCallers, RequestsBeforeTheFirstConfiguration) {
+  crowd_fleet Fleet;
+  Fleet.start(*Fleet.Node);
+  CHECK(Fleet.runUntil([&] {
+    return Fleet
+               .fetchEndpoint(Fleet.Node->Readiness, "/amaranthhoist/readiness")
+               .Status == 503;
+  }));
+  {
+    const crowd Crowd(Fleet.Loop, {Fleet.Node->Callers,
+                                   40,
+                                   {},
+                                   crowdRequest("GET /safe/x"),
+                                   4 * Megabyte});
+    Fleet.runFor(std::chrono::seconds(3));
+    Fleet.checkLimits("no configuration");
+  }
+  Fleet.putConfiguration(1);
+  CHECK(Fleet.waitReady(*Fleet.Node));
+  CHECK(Fleet.servesOthers());
+  Fleet.checkLimits("no configuration");
+}
+
+// Failure: the same for a request without a valid API key.
+TEST(CrowdAtCallers, RequestsWithoutAccount) {
+  crowd_fleet Fleet;
+  Fleet.Accounts = {{"one", {{"api_keys", {"key-of-one"}}}}};
+  Fleet.Fields = "Api-Key: key-of-one\r\n";
+  checkRequestsAhead(Fleet, Fleet.Node->Callers, crowdRequest("GET /safe/x"),
+                     "no account");
+}
+
+// Failure: the same beyond an account's limit.
+TEST(CrowdAtCallers, RequestsBeyondTheLimitOfAnAccount) {
+  crowd_fleet Fleet;
+  Fleet.Accounts = {
+      {"one",
+       {{"api_keys", {"key-of-one"}}, {"rate_per_s", 20}, {"burst", 20}}},
+      {"two", {{"api_keys", {"key-of-two"}}}}};
+  Fleet.Fields = "Api-Key: key-of-two\r\n";
+  checkRequestsAhead(Fleet, Fleet.Node->Callers,
+                     crowdRequest("GET /safe/x", "Api-Key: key-of-one\r\n"),
+                     "beyond the limit of an account");
+}
+
+// Failure: the same for requests whose deadline has passed.
+TEST(CrowdAtCallers, RequestsWithoutTimeLeft) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(Fleet, Fleet.Node->Callers,
+                     "GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n"
+                     "X-Attempt-Id: c\r\nX-Deadline-Remaining: 0\r\n\r\n",
+                     "no time left");
+}
+
+// Failure: the same for kept connections of HTTP/1.0.
+TEST(CrowdAtCallers, OlderProtocolVersion) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(Fleet, Fleet.Node->Callers,
+                     "GET /none/x HTTP/1.0\r\nHost: shop.example\r\n"
+                     "Connection: keep-alive\r\nX-Attempt-Id: c\r\n\r\n",
+                     "HTTP/1.0");
+}
+
+// Failure: the same for requests with bodies, with a length and in chunks.
+TEST(CrowdAtCallers, RequestsWithBodies) {
+  for (const char *Body :
+       {"Content-Length: 20\r\n\r\n12345678901234567890",
+        "Transfer-Encoding: chunked\r\n\r\n5;e\r\nhello\r\n0\r\nA: b\r\n"}) {
+    crowd_fleet Fleet;
+    checkRequestsAhead(
+        Fleet, Fleet.Node->Callers,
+        cat("POST /none/x HTTP/1.1\r\nHost: shop.example\r\n",
+            "X-Attempt-Id: c\r\n", Body,
+            std::string_view(Body).starts_with("T") ? "\r\n" : ""),
+        "bodies");
+  }
+}
+
+// Failure: bytes behind the last request of a connection are kept.
+TEST(CrowdAtCallers, RequestsBehindTheLastOne) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(Fleet, Fleet.Node->Callers,
+                     crowdRequest(NoRoute, "Connection: close\r\n"),
+                     "Connection: close");
+}
+
+// Failure: callers whose requests are malformed or whose heads are too large
+// are kept with what they have sent.
+TEST(CrowdAtCallers, RequestsThatEndTheirConnection) {
+  const std::string TooLarge =
+      cat("GET /none/x HTTP/1.1\r\nX: ", std::string(100'000, 'x'), "\r\n\r\n");
+  for (const std::string &Text :
+       {std::string("no request\r\n\r\n"), TooLarge, crowdRequest("GET *")}) {
+    crowd_fleet Fleet;
+    checkRequestsAhead(Fleet, Fleet.Node->Callers, Text, "ends its connection");
+  }
+}
+
+// Failure: responses of servers that nobody reads fill the memory.
+TEST(CrowdAtCallers, LargeResponses) {
+  crowd_fleet Fleet;
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->PaddingBytes = 200'000;
+  checkRequestsAhead(Fleet, Fleet.Node->Callers, crowdRequest("GET /safe/x"),
+                     "large responses");
+}
+
+// Failure: requests that wait for those before them fill the memory.
+TEST(CrowdAtCallers, NonIdempotentRequests) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(Fleet, Fleet.Node->Callers,
+                     crowdRequest("POST /once/x", "Content-Length: 0\r\n"),
+                     "non-idempotent");
+}
+
+// Failure: a node that shuts down beside such callers hangs or grows.
+TEST(CrowdAtCallers, RequestsDuringAShutdown) {
+  crowd_fleet Fleet;
+  CHECK(Fleet.begin());
+  const crowd Crowd(
+      Fleet.Loop,
+      {Fleet.Node->Callers, 40, {}, crowdRequest(NoRoute), 4 * Megabyte});
+  Fleet.runFor(std::chrono::seconds(1));
+  Fleet.signal(*Fleet.Node, SIGTERM);
+  Fleet.runFor(std::chrono::seconds(2));
+  Fleet.checkLimits("shutdown");
+  CHECK(Fleet.runUntil([&] { return Fleet.hasExited(*Fleet.Node); }));
+  LONGS_EQUAL(0, Fleet.Node->ExitStatus);
+}
+
+// Failure: a connection of another instance is no safer than a caller's.
+TEST(CrowdAtPeers, PathsWithoutRoute) {
+  crowd_fleet Fleet;
+  checkRequestsAhead(Fleet, Fleet.Node->Peers, crowdRequest(NoRoute),
+                     "peers, path without a route");
+}
+
+// Failure: the same for requests that are served.
+TEST(CrowdAtPeers, LargeResponses) {
+  crowd_fleet Fleet;
+  for (auto &[Id, Target] : Fleet.Targets)
+    Target->PaddingBytes = 200'000;
+  checkRequestsAhead(Fleet, Fleet.Node->Peers, crowdRequest("GET /safe/x"),
+                     "peers, large responses");
+}
--- a/Tests/NodeProcesses/endless_test.cpp
+++ b/Tests/NodeProcesses/endless_test.cpp
@@ -1,12 +1,12 @@
 // Tests servers that send bytes without end.
 
 #include "Text/text.h"
+#include "process_usage.h"
 #include "small_fleet.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <fstream>
 
 using namespace amaranthhoist;
 using behavior = target_stand_in::behavior;
@@ -21,17 +21,6 @@
 /// The settings' limit.
 constexpr std::int64_t MemoryLimitKb = 260'000;
 
-/// The largest resident memory of a process so far, in KB.
-std::int64_t peakMemoryKb(pid_t Process) {
-  std::ifstream File(cat("/proc/", Process, "/status"));
-  std::string Word;
-  std::int64_t Value = 0;
-  while (File >> Word)
-    if (Word == "VmHWM:")
-      File >> Value;
-  return Value;
-}
-
 } // namespace
 
 // clang-format off
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -190,8 +191,10 @@
       "]\nlisten:\n  callers: ", Node.Callers,
       "\n  readiness: ", Node.Readiness, "\n  lookups: ", Node.Lookups,
       "\n  control: ", Node.Control, "\n  peers: ", Node.Peers,
+      "\n  metrics: ", Node.Metrics,
       "\nlimits:\n  processor: 0.2\n  memory_mb: ", MemoryMb,
-      "\n  file_descriptors: 4100\nbounds:\n  repeat_ratio: ", RetryRatio,
+      "\n  file_descriptors: ", FileDescriptors,
+      "\nbounds:\n  repeat_ratio: ", RetryRatio,
       "\n  repeat_window: 10s\n  repeat_slack: 60\n  grace_period: ",
       GracePeriod,
       "\n  lookup_ttl: 5s\n"
@@ -210,6 +213,11 @@
   return Text.str();
 }
 
+static void limitResource(__rlimit_resource Resource, rlim_t Value) {
+  const rlimit Limit{Value, Value};
+  setrlimit(Resource, &Limit);
+}
+
 void node_fleet::start(node_process &Node) {
   const std::string File = writeSettings(Node);
   const std::string Log = logFile(Node);
@@ -219,6 +227,9 @@
   const int Output = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(Output, STDOUT_FILENO);
   dup2(Output, STDERR_FILENO);
+  limitResource(RLIMIT_NOFILE, FileDescriptors);
+  if (AddressSpaceMb > 0)
+    limitResource(RLIMIT_AS, static_cast<rlim_t>(AddressSpaceMb) << 20U);
   // Terminates the node if the test process crashes.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   execl(Program.c_str(), Program.c_str(), "--settings", File.c_str(),
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -58,6 +58,7 @@
   std::string Lookups = freeAddress();
   std::string Control = freeAddress();
   std::string Peers = freeAddress();
+  std::string Metrics = freeAddress();
   /// Store address in the node's settings; empty: the store stand-in.
   std::string Store;
   pid_t Process = 0;
@@ -102,6 +103,10 @@
   std::string GracePeriod = "6s";
   /// Memory that a node may use, in megabytes.
   int MemoryMb = 260;
+  int FileDescriptors = 4'100;
+  /// Address space of a node, in megabytes, so that a faulty one ends before it
+  /// takes the machine's memory; 0: no limit.
+  int AddressSpaceMb = 0;
   /// Further lines of the settings' bounds.
   std::string Bounds;
 
--- a/Tests/NodeProcesses/slow_reader_test.cpp
+++ b/Tests/NodeProcesses/slow_reader_test.cpp
@@ -1,6 +1,7 @@
 // Tests callers that read their responses slowly.
 
 #include "Text/text.h"
+#include "process_usage.h"
 #include "slow_reader.h"
 #include "small_fleet.h"
 
@@ -8,7 +9,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 
 using namespace amaranthhoist;
 using std::chrono::milliseconds;
@@ -43,15 +43,6 @@
   }
 };
 
-/// Peak of the resident memory of a process, in megabytes.
-double peakMemoryMb(const node_process &Node) {
-  std::ifstream Status(cat("/proc/", Node.Process, "/status"));
-  for (std::string Line; std::getline(Status, Line);)
-    if (Line.starts_with("VmHWM:"))
-      return std::atof(Line.c_str() + Line.find_first_of("0123456789")) / 1e3;
-  return 0;
-}
-
 /// Number of slow readers; more by hand.
 int readerCount() {
   const char *Text = std::getenv("AMARANTHHOIST_READERS");
@@ -192,7 +183,7 @@
       Fleet.runFor(milliseconds(5));
   }
   Fleet.runFor(seconds(3));
-  const double Peak = peakMemoryMb(Node);
+  const double Peak = static_cast<double>(peakMemoryKb(Node.Process)) / 1e3;
   UT_PRINT(cat(Readers, " readers: ", Peak, " MB of ", Fleet.MemoryMb).c_str());
   CHECK(Peak < Fleet.MemoryMb);
   // The node serves others meanwhile.
