SmallServer: one response at a time, in turns

Seen: 40 connections that send look-ups, queries of the metrics, the readiness or the state ahead and read nothing made a node exceed its memory; with 500 connections at the metrics the process ended.

Cause: small_server answered every request that it read at once, whatever was unsent, and wrote the responses to a buffer without a limit. It went on to answer behind a response that closes the connection, and read bodies of any length.

Evidence: `node-crowd-tests -sg CrowdAtSmallServers`, a node of 48 MB: with the former node both tests failed, at look-ups with 225 MB and at bodies with 1,439 MB (a test ends at its first case that fails).

Change: a connection answers a request once the kernel has accepted the response to the one before it, and eight in one iteration of the loop; what it has read meanwhile, one read at most, waits, and reading is paused. A body over 16 KB is refused with 413.

Why it works: a connection holds one read and one response at most.

Measured: 7 to 8 MB in all ten cases, others are served beside them.

--- a/Libraries/HttpConnection/small_server.cpp
+++ b/Libraries/HttpConnection/small_server.cpp
@@ -4,7 +4,6 @@
 #include "HttpMessage/http_message.h"
 #include "Text/text.h"
 
-#include <cctype>
 #include <unistd.h>
 
 namespace amaranthhoist {
@@ -13,6 +12,10 @@
 static constexpr std::size_t MaxHeadBytes = 16'384;
 /// Connections without a complete request for this long are closed.
 static constexpr duration IdleTimeout = std::chrono::seconds(15);
+/// Requests of one connection that are answered in one iteration of the loop.
+static constexpr int MaxRequestsPerTurn = 8;
+/// No request needs a body.
+static constexpr std::uint64_t MaxBodyBytes = 16'384;
 
 static std::string percentDecode(std::string_view Text) {
   std::string Decoded;
@@ -39,13 +42,17 @@
   return {};
 }
 
-/// A client connection of a small_server.
+/// A client connection of a small_server. It answers one request at a time: the
+/// next when the kernel has accepted the response to the one before it.
 class small_connection : public retirable, private stream_owner {
 public:
-  small_connection(small_server &Server, event_loop &Loop)
-      : Server(Server), Loop(Loop), Stream(Loop, *this),
+  small_connection(small_server &Server, event_loop &Loop, turn_queue &Turns)
+      : Server(Server), Loop(Loop), Turns(Turns), Stream(Loop, *this),
         Reader(message_kind::Request, MaxHeadBytes) {}
-  ~small_connection() override { Loop.cancel(IdleTimer); }
+  ~small_connection() override {
+    Loop.cancel(IdleTimer);
+    Turns.cancel(Turn);
+  }
 
   bool open(int Descriptor) {
     restartIdleTimer();
@@ -68,22 +75,64 @@
   }
 
   void onBytes(std::string_view Bytes) override {
-    while (!Bytes.empty() && Stream.isOpen()) {
-      Bytes.remove_prefix(Reader.feed(Bytes));
-      Reader.body().clear();
-      switch (Reader.state()) {
-      case read_state::InHead:
-      case read_state::InBody:
-        return;
-      case read_state::Malformed:
-      case read_state::HeadTooLarge:
-        respond({400, "application/json", "{}"}, /*KeepAlive=*/false);
-        return;
-      case read_state::Complete:
-        handleRequest();
-        Reader.reset();
+    if (IsClosing)
+      return;
+    Input.append(Bytes);
+    processInput();
+  }
+
+  void onFlushed() override { processInput(); }
+
+  /// Answers requests that were read, and reads more once none are left.
+  void processInput() {
+    if (Turn == 0)
+      answerRequests();
+    if (Input.empty())
+      Stream.resume();
+    else
+      Stream.pause();
+  }
+
+  void answerRequests() {
+    std::size_t Taken = 0;
+    while (Taken < Input.size() && !IsClosing && Stream.isOpen() &&
+           Stream.pendingBytes() == 0) {
+      if (!mayAnswerNow()) {
+        waitForTurn();
+        break;
       }
+      Taken += feedReader(std::string_view(Input).substr(Taken));
     }
+    Input.erase(0, IsClosing ? Input.size() : Taken);
+  }
+
+  bool mayAnswerNow() {
+    if (AnsweredIn != Loop.iteration()) {
+      AnsweredIn = Loop.iteration();
+      Answered = 0;
+    }
+    return Answered < MaxRequestsPerTurn;
+  }
+
+  void waitForTurn() {
+    Turn = Turns.add([this] {
+      Turn = 0;
+      processInput();
+    });
+  }
+
+  std::size_t feedReader(std::string_view Bytes) {
+    const std::size_t Taken = Reader.feed(Bytes);
+    BodyBytes += Reader.body().size();
+    Reader.body().clear();
+    const read_state State = Reader.state();
+    if (State == read_state::Malformed || State == read_state::HeadTooLarge)
+      respond({400, "application/json", "{}"}, /*KeepAlive=*/false);
+    else if (BodyBytes > MaxBodyBytes)
+      respond({413, "application/json", "{}"}, /*KeepAlive=*/false);
+    else if (State == read_state::Complete)
+      handleRequest();
+    return Taken;
   }
 
   void handleRequest() {
@@ -92,8 +141,11 @@
     const std::string_view Query = Mark == std::string_view::npos
                                        ? std::string_view()
                                        : Target.substr(Mark + 1);
+    ++Answered;
     respond(Server.Handler(Target.substr(0, Mark), Query),
             Reader.isKeepAlive());
+    Reader.reset();
+    BodyBytes = 0;
   }
 
   void respond(const small_response &Response, bool KeepAlive) {
@@ -105,21 +157,36 @@
     if (!KeepAlive)
       appendField(Text, "Connection", "close");
     append(Text, "\r\n", Response.Body);
+    // Before the response may be flushed, which would process more requests.
+    IsClosing = !KeepAlive;
     Stream.write(Text);
     restartIdleTimer();
-    if (!KeepAlive)
+    if (IsClosing)
       Stream.shutdownWhenFlushed();
   }
 
   small_server &Server;
   event_loop &Loop;
+  turn_queue &Turns;
   stream Stream;
   message_reader Reader;
+  /// Bytes that were read and not parsed.
+  std::string Input;
+  /// Body bytes of the request that is being read.
+  std::uint64_t BodyBytes = 0;
+  /// Set while requests wait for their turn.
+  turn_id Turn = 0;
+  /// Requests answered in the iteration of the loop with this number.
+  int Answered = 0;
+  std::uint64_t AnsweredIn = 0;
   timer_id IdleTimer = 0;
+  /// The last response was written, and nothing behind its request is read.
+  bool IsClosing = false;
 };
 
-small_server::small_server(event_loop &Loop, small_request_handler Handler)
-    : Loop(Loop), Handler(std::move(Handler)) {}
+small_server::small_server(event_loop &Loop, turn_queue &Turns,
+                           small_request_handler Handler)
+    : Loop(Loop), Turns(Turns), Handler(std::move(Handler)) {}
 
 small_server::~small_server() {
   if (Listener >= 0)
@@ -140,7 +207,7 @@
     const int Descriptor = acceptConnection(Listener, OutOfDescriptors);
     if (Descriptor < 0)
       return;
-    auto Connection = std::make_unique<small_connection>(*this, Loop);
+    auto Connection = std::make_unique<small_connection>(*this, Loop, Turns);
     small_connection *Raw = Connection.get();
     Connections.emplace(Raw, std::move(Connection));
     if (!Raw->open(Descriptor))
--- a/Libraries/HttpConnection/small_server.h
+++ b/Libraries/HttpConnection/small_server.h
@@ -4,6 +4,7 @@
 
 #include "EventLoop/event_loop.h"
 #include "EventLoop/socket.h"
+#include "EventLoop/turn_queue.h"
 #include "Text/text.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -33,7 +34,8 @@
 
 class small_server : private io_handler {
 public:
-  small_server(event_loop &Loop, small_request_handler Handler);
+  small_server(event_loop &Loop, turn_queue &Turns,
+               small_request_handler Handler);
   ~small_server() override;
   small_server(const small_server &) = delete;
   small_server &operator=(const small_server &) = delete;
@@ -46,6 +48,7 @@
   void removeConnection(small_connection &Connection);
 
   event_loop &Loop;
+  turn_queue &Turns;
   small_request_handler Handler;
   int Listener = -1;
   absl::flat_hash_map<small_connection *, std::unique_ptr<small_connection>>
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -65,22 +65,23 @@
               Store.onPeerVersion(Control, Version);
             },
             [this](const auto &Datagram) { Quotas.handleDatagram(Datagram); }),
-        PeerServer(Node.Loop,
+        PeerServer(Node.Loop, Node.Turns,
                    [this](auto Path, auto Query) {
                      return handlePeerQuery(Path, Query);
                    }),
-        Lookups(Node.Loop,
+        Lookups(Node.Loop, Node.Turns,
                 [this](auto Path, auto Query) {
                   return handleLookup(Path, Query);
                 }),
-        Readiness(Node.Loop,
+        Readiness(Node.Loop, Node.Turns,
                   [this](auto Path, auto /*Query*/) {
                     return handleReadinessQuery(Path);
                   }),
-        MetricsServer(Node.Loop, [this](auto /*Path*/, auto /*Query*/) {
-          return small_response{200, "text/plain; version=0.0.4",
-                                Node.Metrics.expose()};
-        }) {}
+        MetricsServer(Node.Loop, Node.Turns,
+                      [this](auto /*Path*/, auto /*Query*/) {
+                        return small_response{200, "text/plain; version=0.0.4",
+                                              Node.Metrics.expose()};
+                      }) {}
 
   result<bool> start() {
     const node_settings &Settings = Node.Settings;
--- a/Tests/NodeProcesses/crowd_test.cpp
+++ b/Tests/NodeProcesses/crowd_test.cpp
@@ -15,6 +15,12 @@
 
 constexpr std::size_t Megabyte = 1'000'000;
 constexpr const char *NoRoute = "GET /none/x";
+constexpr const char *LookupPath = "/amaranthhoist/resolve?name=shop.example";
+
+/// A request to a look-up, readiness, metrics or control listener.
+std::string smallRequest(const char *Path) {
+  return cat("GET ", Path, " HTTP/1.1\r\nHost: h\r\n\r\n");
+}
 
 /// Requests sent ahead by some callers with much each, and by many with less.
 void checkRequestsAhead(crowd_fleet &Fleet, const std::string &Address,
@@ -28,6 +34,7 @@
 // clang-format off
 TEST_GROUP(CrowdAtCallers) {};
 TEST_GROUP(CrowdAtPeers) {};
+TEST_GROUP(CrowdAtSmallServers) {};
 // clang-format on
 
 // Failure: requests that are refused early, sent ahead, fill the memory.
@@ -192,3 +199,34 @@
   checkRequestsAhead(Fleet, Fleet.Node->Peers, crowdRequest("GET /safe/x"),
                      "peers, large responses");
 }
+
+// Failure: responses of the look-ups, the readiness, the metrics or the state
+// that nobody reads fill the memory.
+TEST(CrowdAtSmallServers, RequestsAhead) {
+  constexpr std::pair<std::string node_process::*, const char *> Cases[] = {
+      {&node_process::Lookups, LookupPath},
+      {&node_process::Lookups, "/none"},
+      {&node_process::Readiness, "/amaranthhoist/readiness"},
+      {&node_process::Metrics, "/metrics"},
+      {&node_process::Control, "/v1/status"},
+      {&node_process::Control, "/v1/changes?known=1,1,1,1&eras=1,1,1,1"},
+      {&node_process::Control, "/v1/changes?known=0,0,0,0"}};
+  for (const auto &[Listener, Path] : Cases) {
+    crowd_fleet Fleet;
+    checkRequestsAhead(Fleet, Fleet.Node->*Listener, smallRequest(Path), Path);
+  }
+}
+
+// Failure: bodies, unfinished heads and malformed requests at a small server
+// are kept.
+TEST(CrowdAtSmallServers, RequestsThatAreNotServed) {
+  for (const char *Text :
+       {"no request\r\n\r\n",
+        "POST /metrics HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n"
+        "12345678901234567890",
+        "POST /metrics HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n5;e\r\nhello\r\n0\r\n\r\n"}) {
+    crowd_fleet Fleet;
+    checkRequestsAhead(Fleet, Fleet.Node->Metrics, Text, "not served");
+  }
+}
