Node: what connections hold is bounded by sum

Seen: 500 connections that send requests ahead, or hold unfinished bodies, and 400 with large heads at slow servers made a node exceed its memory, though each kept its limits.

Cause: backlogs, heads and requests in flight were bounded by connection or not at all. A reader kept the buffers of its largest head, a backlog those of its largest content, and a body took up to twice its length, of which the length was counted.

Change: two accounts, for requests of callers and peers and for the other servers, an eighth of the memory each. What a connection may read and buffer is an equal part of what is free. At its limit the connections that hold most are dropped, until an eighth is free; metrics and a log line tell it; while it is used up, new requests are refused. Buffers are released once they are empty, and bodies of a known length are read into as much memory. ResponseMemory becomes ConnectionMemory, whose accounts serve all of them.

Why it works: every connection counts with all that it holds, those in flight with their requests, also without their caller; the sum is looked at after each iteration of the loop, in which each connection adds a bounded amount. An ordinary caller holds a few KB and is dropped last.

Others are served beside each crowd.

--- a/Libraries/EventLoop/stream.cpp
+++ b/Libraries/EventLoop/stream.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLoop/socket.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <sys/socket.h>
@@ -9,9 +10,6 @@
 
 namespace amaranthhoist {
 
-/// Size of the read buffer in bytes. It is on the stack, since an owner may
-/// resume another stream from within its callback.
-static constexpr std::size_t ReadSize = 32'768;
 /// Reads of one stream in one iteration of the loop. A peer that sends as fast
 /// as its bytes are read would keep the loop from all others.
 static constexpr int MaxReadsPerIteration = 16;
@@ -118,6 +116,10 @@
     readAll(PeerDisconnected);
 }
 
+void stream::limitReads(std::size_t Bytes) {
+  ReadLimit = std::min(Bytes, ReadSize);
+}
+
 void stream::readLater() {
   HasUnreadInput = true;
   if (ReadTimer == 0)
@@ -156,6 +158,8 @@
 }
 
 void stream::readAll(bool UntilEof) {
+  // On the stack, since an owner may resume another stream from within its
+  // callback.
   std::array<char, ReadSize> Buffer; // NOLINT(*-member-init): recv fills it
   HasUnreadInput = false;
   for (int Reads = 0; Descriptor >= 0; ++Reads) {
@@ -167,7 +171,8 @@
       readLater();
       return;
     }
-    const ssize_t Count = recv(Descriptor, Buffer.data(), Buffer.size(), 0);
+    const std::size_t Wanted = ReadLimit;
+    const ssize_t Count = recv(Descriptor, Buffer.data(), Wanted, 0);
     if (Count == 0) {
       disconnect(IsLost ? disconnect_reason::ConnectionLost
                         : disconnect_reason::Graceful);
@@ -181,7 +186,7 @@
     const auto Size = static_cast<std::size_t>(Count);
     Owner.onBytes({Buffer.data(), Size});
     // A short read means that the kernel's buffer is empty.
-    if (Size < Buffer.size() && !UntilEof)
+    if (Size < Wanted && !UntilEof)
       return;
   }
 }
--- a/Libraries/EventLoop/stream.h
+++ b/Libraries/EventLoop/stream.h
@@ -36,6 +36,9 @@
 
 class stream : public io_handler {
 public:
+  /// Bytes of one read at most.
+  static constexpr std::size_t ReadSize = 32'768;
+
   stream(event_loop &Loop, stream_owner &Owner) : Loop(Loop), Owner(Owner) {}
   ~stream() override;
   stream(const stream &) = delete;
@@ -53,6 +56,8 @@
   /// Stops reading, to apply back pressure to the peer, until resume().
   void pause() { IsReadingPaused = true; }
   void resume();
+  /// Limits the bytes of one read, at most ReadSize.
+  void limitReads(std::size_t Bytes);
 
   [[nodiscard]] bool isOpen() const { return Descriptor >= 0; }
   [[nodiscard]] bool isConnected() const { return IsConnected; }
@@ -96,6 +101,7 @@
   bool IsReadingPaused = false;
   bool HasUnreadInput = false;
   timer_id ReadTimer = 0;
+  std::size_t ReadLimit = ReadSize;
   bool PeerDisconnected = false;
   /// The peer has finished its stream, and the connection was intact then.
   bool HasPeerFinished = false;
--- a/Libraries/HttpConnection/small_server.cpp
+++ b/Libraries/HttpConnection/small_server.cpp
@@ -10,6 +10,8 @@
 
 /// Maximum size of a request head in bytes.
 static constexpr std::size_t MaxHeadBytes = 16'384;
+/// A connection with its timer, and its place in the server.
+static constexpr std::size_t ConnectionBytes = 1'536;
 /// Connections without a complete request for this long are closed.
 static constexpr duration IdleTimeout = std::chrono::seconds(15);
 /// Requests of one connection that are answered in one iteration of the loop.
@@ -44,17 +46,35 @@
 
 /// A client connection of a small_server. It answers one request at a time: the
 /// next when the kernel has accepted the response to the one before it.
-class small_connection : public retirable, private stream_owner {
+class small_connection : public retirable,
+                         public memory_holder,
+                         private stream_owner {
 public:
-  small_connection(small_server &Server, event_loop &Loop, turn_queue &Turns)
-      : Server(Server), Loop(Loop), Turns(Turns), Stream(Loop, *this),
-        Reader(message_kind::Request, MaxHeadBytes) {}
+  small_connection(small_server &Server, event_loop &Loop,
+                   const small_server_resources &Resources)
+      : Server(Server), Loop(Loop), Resources(Resources),
+        Memory(Resources.Memory), Stream(Loop, *this),
+        Reader(message_kind::Request, MaxHeadBytes) {
+    Resources.Memory.Holders.insert(this);
+    updateMemory();
+  }
   ~small_connection() override {
+    Resources.Memory.Holders.erase(this);
     Loop.cancel(IdleTimer);
-    Turns.cancel(Turn);
+    Resources.Turns.cancel(Turn);
+  }
+
+  [[nodiscard]] std::size_t heldBytes() const override {
+    return Memory.bytes();
+  }
+
+  void drop() override {
+    Stream.closeWithReset();
+    Server.removeConnection(*this);
   }
 
   bool open(int Descriptor) {
+    Stream.limitReads(inputAllowance(Resources.Memory));
     restartIdleTimer();
     return Stream.open(Descriptor, /*IsConnected=*/true);
   }
@@ -65,6 +85,11 @@
     IdleTimer = Loop.runAfter(IdleTimeout, [this] { closeIdle(); });
   }
 
+  void updateMemory() {
+    Memory.set(ConnectionBytes + Input.capacity() + Reader.headMemory() +
+               Stream.pendingBytes());
+  }
+
   void closeIdle() {
     Stream.close();
     Server.removeConnection(*this);
@@ -81,12 +106,18 @@
     processInput();
   }
 
+  void onPartlyFlushed() override { updateMemory(); }
+
   void onFlushed() override { processInput(); }
 
   /// Answers requests that were read, and reads more once none are left.
   void processInput() {
     if (Turn == 0)
       answerRequests();
+    if (Input.empty())
+      Input.shrink_to_fit();
+    updateMemory();
+    Stream.limitReads(inputAllowance(Resources.Memory));
     if (Input.empty())
       Stream.resume();
     else
@@ -115,7 +146,7 @@
   }
 
   void waitForTurn() {
-    Turn = Turns.add([this] {
+    Turn = Resources.Turns.add([this] {
       Turn = 0;
       processInput();
     });
@@ -167,7 +198,8 @@
 
   small_server &Server;
   event_loop &Loop;
-  turn_queue &Turns;
+  small_server_resources Resources;
+  memory_share Memory;
   stream Stream;
   message_reader Reader;
   /// Bytes that were read and not parsed.
@@ -184,9 +216,10 @@
   bool IsClosing = false;
 };
 
-small_server::small_server(event_loop &Loop, turn_queue &Turns,
+small_server::small_server(event_loop &Loop,
+                           const small_server_resources &Resources,
                            small_request_handler Handler)
-    : Loop(Loop), Turns(Turns), Handler(std::move(Handler)) {}
+    : Loop(Loop), Resources(Resources), Handler(std::move(Handler)) {}
 
 small_server::~small_server() {
   if (Listener >= 0)
@@ -207,7 +240,8 @@
     const int Descriptor = acceptConnection(Listener, OutOfDescriptors);
     if (Descriptor < 0)
       return;
-    auto Connection = std::make_unique<small_connection>(*this, Loop, Turns);
+    auto Connection =
+        std::make_unique<small_connection>(*this, Loop, Resources);
     small_connection *Raw = Connection.get();
     Connections.emplace(Raw, std::move(Connection));
     if (!Raw->open(Descriptor))
--- a/Libraries/HttpConnection/small_server.h
+++ b/Libraries/HttpConnection/small_server.h
@@ -2,6 +2,7 @@
 /// metrics. Responses are produced synchronously from memory.
 #pragma once
 
+#include "ConnectionMemory/connection_memory.h"
 #include "EventLoop/event_loop.h"
 #include "EventLoop/socket.h"
 #include "EventLoop/turn_queue.h"
@@ -30,11 +31,19 @@
 /// absent.
 std::string queryValue(std::string_view Query, std::string_view Name);
 
+/// What the servers of an instance share.
+struct small_server_resources {
+  /// For connections that send many requests ahead.
+  turn_queue &Turns;
+  /// Counts what the connections hold, and may close them.
+  memory_account &Memory;
+};
+
 class small_connection;
 
 class small_server : private io_handler {
 public:
-  small_server(event_loop &Loop, turn_queue &Turns,
+  small_server(event_loop &Loop, const small_server_resources &Resources,
                small_request_handler Handler);
   ~small_server() override;
   small_server(const small_server &) = delete;
@@ -48,7 +57,7 @@
   void removeConnection(small_connection &Connection);
 
   event_loop &Loop;
-  turn_queue &Turns;
+  small_server_resources Resources;
   small_request_handler Handler;
   int Listener = -1;
   absl::flat_hash_map<small_connection *, std::unique_ptr<small_connection>>
--- a/Libraries/HttpMessage/http_message.cpp
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -9,6 +9,9 @@
 
 namespace amaranthhoist {
 
+/// Buffers of a head up to these sizes are used again for the next one.
+static constexpr std::size_t MaxKeptText = 2'048;
+static constexpr std::size_t MaxKeptFields = 64;
 /// What http-parser returns for a status that it doesn't know.
 static constexpr std::string_view UnknownPhrase = "<unknown>";
 
@@ -38,6 +41,20 @@
   return Count;
 }
 
+void message_head::clear() {
+  Text.clear();
+  Spans.clear();
+  Target.clear();
+  Status = 0;
+  // Thousands of idle connections would keep what one large head needed.
+  if (Text.capacity() > MaxKeptText)
+    Text.shrink_to_fit();
+  if (Spans.capacity() > MaxKeptFields)
+    Spans.shrink_to_fit();
+  if (Target.capacity() > MaxKeptText)
+    Target.shrink_to_fit();
+}
+
 std::string_view message_head::method() const {
   return http_method_str(static_cast<http_method>(Method));
 }
@@ -90,7 +107,9 @@
     return Reader.WithoutBody ? 1 : 0;
   }
   static int onBody(http_parser *Parser, const char *At, std::size_t Size) {
-    readerOf(Parser).Body.append(At, Size);
+    message_reader &Reader = readerOf(Parser);
+    Reader.reserveBody(Size);
+    Reader.Body.append(At, Size);
     return 0;
   }
   static int onComplete(http_parser *Parser) {
@@ -124,10 +143,7 @@
                                                           : HTTP_RESPONSE);
   Parser.data = this;
   State = read_state::InHead;
-  Head.Text.clear();
-  Head.Spans.clear();
-  Head.Target.clear();
-  Head.Status = 0;
+  Head.clear();
   Body.clear();
   ContentLength.reset();
   HasStarted = false;
@@ -159,6 +175,11 @@
   return !Length || parseNumber<std::uint64_t>(*Length).has_value();
 }
 
+std::size_t message_reader::headMemory() const {
+  return Head.Text.capacity() + Head.Target.capacity() +
+         Head.Spans.capacity() * sizeof(message_head::span);
+}
+
 void message_reader::finishHead() {
   Head.Method = Parser.method;
   Head.Status = static_cast<int>(Parser.status_code);
@@ -179,6 +200,15 @@
                     !Head.find("transfer-encoding").has_value();
 }
 
+/// Makes room for \p Bytes more of the body. What doubles as it grows takes up
+/// to twice the memory of a body whose length is known.
+void message_reader::reserveBody(std::size_t Bytes) {
+  const std::size_t Needed = Body.size() + Bytes;
+  if (Needed > Body.capacity() && ContentLength && Needed <= *ContentLength)
+    Body.reserve(std::min(static_cast<std::size_t>(*ContentLength),
+                          std::max(Needed, 2 * Body.capacity())));
+}
+
 std::size_t message_reader::feed(std::string_view Bytes) {
   if (Bytes.empty() || State == read_state::Complete ||
       State == read_state::Malformed || State == read_state::HeadTooLarge)
--- a/Libraries/HttpMessage/http_message.h
+++ b/Libraries/HttpMessage/http_message.h
@@ -42,6 +42,7 @@
 
 private:
   friend class message_reader;
+  void clear();
   struct span {
     std::uint32_t Name = 0;
     std::uint32_t NameSize = 0;
@@ -88,6 +89,8 @@
   /// Whether any byte of the message has been read.
   [[nodiscard]] bool hasStarted() const { return HasStarted; }
   [[nodiscard]] const message_head &head() const { return Head; }
+  /// Memory held for the head, in bytes.
+  [[nodiscard]] std::size_t headMemory() const;
   /// Body bytes that were read and not yet removed by the caller.
   std::string &body() { return Body; }
   /// The Content-Length; none if the body is chunked or ends with the
@@ -108,6 +111,7 @@
   std::size_t feedBody(std::string_view Bytes);
   std::size_t parse(std::string_view Bytes);
   bool hasUnambiguousFraming() const;
+  void reserveBody(std::size_t Bytes);
   void finishHead();
 
   message_kind Kind;
--- a/Libraries/NodeSettings/node_settings.cpp
+++ b/Libraries/NodeSettings/node_settings.cpp
@@ -64,6 +64,10 @@
   Reader.readNumber("memory_mb", Settings.MemoryMb, 32, 1'048'576);
   Reader.readNumber("file_descriptors", Settings.FileDescriptors, 64,
                     10'000'000);
+  Reader.readNumber("request_memory_mb", Settings.RequestMemoryMb, 0,
+                    1'048'576);
+  Reader.readNumber("auxiliary_memory_mb", Settings.AuxiliaryMemoryMb, 0,
+                    1'048'576);
   Reader.readNumber("requests_per_turn", Settings.RequestsPerTurn, 1, 10'000);
   finish(Reader, Check);
 }
--- a/Libraries/NodeSettings/node_settings.h
+++ b/Libraries/NodeSettings/node_settings.h
@@ -74,6 +74,11 @@
   std::int64_t MemoryMb = 256;
   /// File descriptors that this node may use.
   std::int64_t FileDescriptors = 1'024;
+  /// Memory for requests of callers and peers without their bodies, and for the
+  /// other servers (look-ups, readiness, control, metrics), in MB; 0: a part of
+  /// MemoryMb.
+  std::int64_t RequestMemoryMb = 0;
+  std::int64_t AuxiliaryMemoryMb = 0;
   /// Requests of one connection that are begun in one iteration of the event
   /// loop; those behind them wait for the next.
   std::int64_t RequestsPerTurn = 8;
--- a/Libraries/NodeSettings/settings_reload.cpp
+++ b/Libraries/NodeSettings/settings_reload.cpp
@@ -60,6 +60,12 @@
   Visit(
       "limits.file_descriptors", Reload,
       [](auto &S) -> auto & { return S.FileDescriptors; });
+  Visit(
+      "limits.request_memory_mb", Reload,
+      [](auto &S) -> auto & { return S.RequestMemoryMb; });
+  Visit(
+      "limits.auxiliary_memory_mb", Reload,
+      [](auto &S) -> auto & { return S.AuxiliaryMemoryMb; });
   Visit(
       "limits.requests_per_turn", Reload,
       [](auto &S) -> auto & { return S.RequestsPerTurn; });
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -6,9 +6,10 @@
 
 namespace amaranthhoist {
 
-/// Bytes of pipelined requests that are buffered while others are served.
-/// Continuing to read detects when the caller disconnects.
-static constexpr std::size_t MaxBacklogBytes = 65'536;
+/// A buffer for pipelined requests up to this size is kept once it is empty.
+static constexpr std::size_t MaxKeptBacklog = 4'096;
+/// A connection with its timer, and its place in the server.
+static constexpr std::size_t ConnectionBytes = sizeof(caller_connection) + 512;
 /// Maximum number of requests of one connection that are served concurrently.
 /// Served one after the other, a request waits for all earlier ones, and 6 % of
 /// them on a calm day, 9 % on a heavy one, took over half of their objective to
@@ -30,10 +31,14 @@
 caller_connection::caller_connection(node &Node, target_pool &Pool,
                                      caller_server &Server)
     : Node(Node), Pool(Pool), Server(Server), Stream(Node.Loop, *this),
-      Reader(message_kind::Request, HardHeadLimit),
-      Memory(Node.ResponseMemory) {}
+      Reader(message_kind::Request, HardHeadLimit), Input(Node.RequestMemory),
+      Memory(Node.ResponseMemory) {
+  Node.RequestMemory.Holders.insert(this);
+  updateMemory();
+}
 
 caller_connection::~caller_connection() {
+  Node.RequestMemory.Holders.erase(this);
   Node.Loop.cancel(Timer);
   Node.Turns.cancel(Turn);
   releaseBody();
@@ -45,7 +50,27 @@
                               : Defaults;
 }
 
+std::size_t caller_connection::heldBytes() const {
+  std::size_t Sum = Input.bytes();
+  for (const auto &Slot : Slots)
+    Sum += Slot->heldBytes();
+  return Sum;
+}
+
+void caller_connection::drop() {
+  Stream.closeWithReset();
+  onDisconnect(disconnect_reason::ConnectionLost);
+}
+
+void caller_connection::updateMemory() {
+  if (Backlog.empty() && Backlog.capacity() > MaxKeptBacklog)
+    Backlog.shrink_to_fit();
+  Input.set(ConnectionBytes + Backlog.capacity() + Reader.headMemory() +
+            (DeferredRequest ? memoryOf(*DeferredRequest) : 0));
+}
+
 bool caller_connection::open(int Descriptor) {
+  Stream.limitReads(inputAllowance(Node.RequestMemory));
   setTimer(limits().IdleTimeout, &caller_connection::onIdleTimeout);
   return Stream.open(Descriptor, /*IsConnected=*/true);
 }
@@ -114,6 +139,7 @@
 }
 
 void caller_connection::onDisconnect(disconnect_reason /*End*/) {
+  Input.set(0);
   Node.Loop.cancel(Timer);
   Node.Turns.cancel(Turn);
   dropRequests();
@@ -197,6 +223,7 @@
     takeRequests();
     IsReading = false;
   }
+  updateMemory();
   if (!IsClosing)
     updateReading();
 }
@@ -239,7 +266,9 @@
 /// Reads on only while little is buffered. Reading detects when the caller
 /// disconnects.
 void caller_connection::updateReading() {
-  if (Backlog.size() > MaxBacklogBytes)
+  const std::size_t Allowance = inputAllowance(Node.RequestMemory);
+  Stream.limitReads(Allowance);
+  if (Backlog.size() > Allowance)
     Stream.pause();
   else
     Stream.resume();
@@ -265,10 +294,10 @@
     return Taken;
   if (!IsHeadHandled && !handleHead())
     return Taken;
-  const std::size_t NewBytes = Reader.body().size() - BufferedBodyBytes;
+  const std::size_t NewBytes = Reader.body().capacity() - BufferedBodyBytes;
   BufferedBodyBytes += NewBytes;
   Node.BufferedBodyBytes += NewBytes;
-  if (BufferedBodyBytes > limits().MaxBodyBytes)
+  if (Reader.body().size() > limits().MaxBodyBytes)
     rejectAndClose(413);
   else if (Node.BufferedBodyBytes >
            static_cast<std::size_t>(Node.Settings.MemoryMb) * 1'000'000 /
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -22,6 +22,7 @@
 class caller_server;
 
 class caller_connection : public retirable,
+                          public memory_holder,
                           private stream_owner,
                           private slot_owner {
 public:
@@ -40,6 +41,9 @@
   /// because the process exits.
   void logAborted();
 
+  [[nodiscard]] std::size_t heldBytes() const override;
+  void drop() override;
+
 private:
   void onBytes(std::string_view Bytes) override;
   void onPartlyFlushed() override { Memory.set(Stream.pendingBytes()); }
@@ -52,6 +56,7 @@
   bool keepsAliveAfter(const response_slot &Slot) override;
   void onFirstDone() override;
 
+  void updateMemory();
   /// Begins requests that are buffered, and reads more.
   void processBacklog();
   void takeRequests();
@@ -110,6 +115,8 @@
   /// Requests begun in the iteration of the loop with this number.
   std::int64_t Begun = 0;
   std::uint64_t BegunIn = 0;
+  /// Bytes of a request that is being read, and of those behind it.
+  memory_share Input;
   unsent_responses Unsent;
   memory_share Memory;
   /// Bytes in the write buffer when the wait for the caller began.
@@ -117,7 +124,7 @@
   timer_id Timer = 0;
   instant LastBytesAt{};
   instant RequestStartedAt{};
-  /// Size of the body that is being read, or of the deferred request's body.
+  /// Memory of the body that is being read, or of the deferred request's body.
   std::size_t BufferedBodyBytes = 0;
   bool IsHeadHandled = false;
   bool RequestKeepsAlive = true;
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -16,13 +16,23 @@
 /// Interval at which a request that arrives during bootstrap is tried again:
 /// short compared to the latency objectives, and few wake-ups while the lists
 /// are fetched.
+/// An exchange with its plan, timers and slot, and a connection to a server.
+static constexpr std::size_t ExchangeBytes = sizeof(exchange) + 2'048;
 static constexpr duration BootstrapCheckPeriod = std::chrono::milliseconds(10);
 
+std::size_t memoryOf(const caller_request &Request) {
+  return ExchangeBytes + Request.Id.capacity() + Request.Method.capacity() +
+         Request.Target.capacity() + Request.Host.capacity() +
+         Request.ObjectKey.capacity() + Request.ApiKey.capacity() +
+         Request.Fields.capacity();
+}
+
 exchange::exchange(node &Node, target_pool &Pool, exchange_caller &Caller,
                    caller_request InitialRequest)
     : Node(Node), Pool(Pool), Caller(&Caller),
       Request(std::move(InitialRequest)),
-      ContentName(contentName(Request.Content)) {
+      ContentName(contentName(Request.Content)), Memory(Node.RequestMemory) {
+  Memory.set(memoryOf(Request));
   ++(Request.Forwarded ? Node.ForwardedInFlight : Node.OwnInFlight);
 }
 
@@ -44,7 +54,7 @@
     refuse(refusal::ShuttingDown);
     return;
   }
-  if (isUsedUp(Node.ResponseMemory)) {
+  if (isUsedUp(Node.ResponseMemory) || isUsedUp(Node.RequestMemory)) {
     refuse(refusal::MemoryUsedUp);
     return;
   }
--- a/Services/Node/exchange.h
+++ b/Services/Node/exchange.h
@@ -46,6 +46,10 @@
   }
 };
 
+/// Memory of \p Request without its body, which is counted by itself, and of
+/// what serves it, in bytes.
+std::size_t memoryOf(const caller_request &Request);
+
 /// Interface to the caller's connection.
 class exchange_caller {
 public:
@@ -90,6 +94,8 @@
   void onCallerDrained();
   /// Logs a final line for a request that is aborted because the process exits.
   void logAborted();
+  /// Memory of the request without its body, in bytes.
+  [[nodiscard]] std::size_t heldBytes() const { return Memory.bytes(); }
 
 private:
   bool onHead(const message_head &Head) override;
@@ -192,6 +198,7 @@
   caller_request Request;
   /// Name of the content in the log.
   const std::string ContentName;
+  memory_share Memory;
   request_plan Plan;
   bool HasPlan = false;
   /// Whether the account has a limit.
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -5,6 +5,7 @@
 #include "Text/text.h"
 #include "caller_server.h"
 #include "codec.h"
+#include "connection_guard.h"
 #include "names.h"
 #include "node.h"
 #include "peer_link.h"
@@ -65,24 +66,28 @@
               Store.onPeerVersion(Control, Version);
             },
             [this](const auto &Datagram) { Quotas.handleDatagram(Datagram); }),
-        PeerServer(Node.Loop, Node.Turns,
+        PeerServer(Node.Loop, resources(),
                    [this](auto Path, auto Query) {
                      return handlePeerQuery(Path, Query);
                    }),
-        Lookups(Node.Loop, Node.Turns,
+        Lookups(Node.Loop, resources(),
                 [this](auto Path, auto Query) {
                   return handleLookup(Path, Query);
                 }),
-        Readiness(Node.Loop, Node.Turns,
+        Readiness(Node.Loop, resources(),
                   [this](auto Path, auto /*Query*/) {
                     return handleReadinessQuery(Path);
                   }),
-        MetricsServer(Node.Loop, Node.Turns,
+        MetricsServer(Node.Loop, resources(),
                       [this](auto /*Path*/, auto /*Query*/) {
                         return small_response{200, "text/plain; version=0.0.4",
                                               Node.Metrics.expose()};
                       }) {}
 
+  small_server_resources resources() {
+    return {Node.Turns, Node.AuxiliaryMemory};
+  }
+
   result<bool> start() {
     const node_settings &Settings = Node.Settings;
     Node.Fleet.Own = {Settings.Instance,     Settings.FailureDomain,
@@ -252,6 +257,7 @@
   node Node;
   retry_budget_log RetryLog{Node};
   request_log RequestLog{Node};
+  connection_guard Guard{Node};
   // Before the callers, whose exchanges return their tokens when they are
   // destroyed.
   quota_link Quotas;
--- a/Services/Node/node.cpp
+++ b/Services/Node/node.cpp
@@ -32,6 +32,10 @@
   Steering.BulkLocality = Settings.BulkLocality;
   Node.Fleet.Own.Processor = Settings.CpuShare;
   setMemoryLimit(Node.ResponseMemory, Settings.MemoryMb);
+  setRequestLimit(Node.RequestMemory, Settings.RequestMemoryMb,
+                  Settings.MemoryMb);
+  setRequestLimit(Node.AuxiliaryMemory, Settings.AuxiliaryMemoryMb,
+                  Settings.MemoryMb);
 }
 
 std::int64_t configurationVersion(const node &Node) {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -2,6 +2,7 @@
 /// that decisions are based on, and the log and metrics.
 #pragma once
 
+#include "ConnectionMemory/connection_memory.h"
 #include "EventLog/event_log.h"
 #include "EventLoop/event_loop.h"
 #include "EventLoop/turn_queue.h"
@@ -10,7 +11,6 @@
 #include "HttpConnection/client_connection.h"
 #include "Metrics/metrics.h"
 #include "NodeSettings/node_settings.h"
-#include "ResponseMemory/response_memory.h"
 #include "Shutdown/shutdown.h"
 #include "StateSpread/configuration_lag.h"
 #include "StateSpread/watch_duty.h"
@@ -87,6 +87,15 @@
 struct node {
   node(node_settings Settings, const wire_names &Wire);
 
+  /// Before the loop, whose retired objects count towards them.
+  /// Responses that callers have not taken yet.
+  memory_account ResponseMemory;
+  /// Requests of callers and peers that are read or served, without their
+  /// bodies.
+  memory_account RequestMemory;
+  /// What connections to the other servers hold.
+  memory_account AuxiliaryMemory;
+
   event_loop Loop;
   /// For connections that send many requests ahead.
   turn_queue Turns{Loop, TurnsPerIteration};
@@ -119,8 +128,6 @@
   shutdown_schedule Shutdown;
   /// Bytes of request bodies buffered for all callers together.
   std::size_t BufferedBodyBytes = 0;
-  /// Responses that callers have not taken yet.
-  response_memory ResponseMemory;
 
   /// Returns whether the node has enough state to serve callers and is not
   /// shutting down.
--- a/Services/Node/response_slot.h
+++ b/Services/Node/response_slot.h
@@ -57,6 +57,10 @@
   /// continues without the caller.
   std::unique_ptr<exchange> onCallerDisconnected();
   void logAborted() const;
+  /// Memory of the request without its body, in bytes.
+  [[nodiscard]] std::size_t heldBytes() const {
+    return Exchange ? Exchange->heldBytes() : 0;
+  }
   [[nodiscard]] const std::string &requestId() const { return RequestId; }
 
 private:
--- a/Tests/NodeProcesses/crowd_test.cpp
+++ b/Tests/NodeProcesses/crowd_test.cpp
@@ -29,12 +29,21 @@
   Fleet.checkBeside({Address, 40, {}, Request, 4 * Megabyte}, Name);
 }
 
+/// A head of \p Bytes bytes with as many fields as it can have.
+std::string headOfEmptyFields(std::size_t Bytes) {
+  std::string Head = "GET /none/x HTTP/1.1\r\nHost: shop.example\r\n";
+  while (Head.size() + 6 <= Bytes)
+    Head.append("a:\r\n");
+  return Head + "\r\n";
+}
+
 } // namespace
 
 // clang-format off
 TEST_GROUP(CrowdAtCallers) {};
 TEST_GROUP(CrowdAtPeers) {};
 TEST_GROUP(CrowdAtSmallServers) {};
+TEST_GROUP(CrowdOfMany) {};
 // clang-format on
 
 // Failure: requests that are refused early, sent ahead, fill the memory.
@@ -169,6 +178,27 @@
                      "non-idempotent");
 }
 
+// Failure: requests at servers that don't respond fill the memory with their
+// heads.
+TEST(CrowdAtCallers, LargeHeadsInFlight) {
+  crowd_fleet Fleet;
+  for (int Server = 3; Server <= 6; ++Server)
+    Fleet.addTarget(cat("s", Server));
+  for (auto &[Id, Target] : Fleet.Targets) {
+    Target->Load = "0,0,400";
+    Target->Work = std::chrono::seconds(1);
+  }
+  CHECK(Fleet.begin());
+  Fleet.checkBeside(
+      {Fleet.Node->Callers,
+       400,
+       {},
+       crowdRequest("GET /safe/x",
+                    cat("X-Field: ", std::string(7'000, 'x'), "\r\n")),
+       Megabyte},
+      "large heads in flight");
+}
+
 // Failure: a node that shuts down beside such callers hangs or grows.
 TEST(CrowdAtCallers, RequestsDuringAShutdown) {
   crowd_fleet Fleet;
@@ -230,3 +260,59 @@
     checkRequestsAhead(Fleet, Fleet.Node->Metrics, Text, "not served");
   }
 }
+
+// Failure: what one caller may hold is bounded, what many hold together isn't.
+TEST(CrowdOfMany, PathsWithoutRoute) {
+  crowd_fleet Fleet;
+  CHECK(Fleet.begin());
+  Fleet.checkBeside(
+      {Fleet.Node->Callers, 500, {}, crowdRequest(NoRoute), Megabyte},
+      "many, path without a route");
+}
+
+// Failure: the same for heads that the node has read.
+TEST(CrowdOfMany, HeadsOfEmptyFields) {
+  crowd_fleet Fleet;
+  CHECK(Fleet.begin());
+  Fleet.checkBeside({Fleet.Node->Callers, 500, headOfEmptyFields(8'000), {}, 0},
+                    "many, heads of empty fields");
+}
+
+// Failure: the same for heads and bodies without an end.
+TEST(CrowdOfMany, UnfinishedRequests) {
+  const std::string Head = "POST /safe/x HTTP/1.1\r\nHost: shop.example\r\n"
+                           "X-Deadline-Remaining: 60000\r\n";
+  std::string Empty = headOfEmptyFields(7'900);
+  Empty.resize(Empty.size() - 2);
+  for (const std::string &Text :
+       {Empty, Head + "X: " + std::string(7'900, 'x'),
+        Head + "Content-Length: 99000\r\n\r\n" + std::string(90'000, 'x'),
+        Head + "Transfer-Encoding: chunked\r\n\r\n16000\r\n" +
+            std::string(90'000, 'x'),
+        Head + "Transfer-Encoding: chunked\r\n\r\n5;" +
+            std::string(60'000, 'x'),
+        Head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+            std::string(60'000, 'x')}) {
+    crowd_fleet Fleet;
+    CHECK(Fleet.begin());
+    Fleet.checkBeside({Fleet.Node->Callers, 500, Text, {}, 0},
+                      "many, unfinished");
+  }
+}
+
+// Failure: many look-ups and queries of the metrics together fill the memory.
+TEST(CrowdOfMany, SmallServers) {
+  for (const auto &[Listener, Path] :
+       {std::pair(&node_process::Lookups, LookupPath),
+        std::pair(&node_process::Metrics, "/metrics"),
+        std::pair(&node_process::Control, "/v1/status")}) {
+    crowd_fleet Fleet;
+    CHECK(Fleet.begin());
+    Fleet.checkBeside({Fleet.Node->*Listener,
+                       500,
+                       {},
+                       cat("GET ", Path, " HTTP/1.1\r\nHost: h\r\n\r\n"),
+                       Megabyte},
+                      Path);
+  }
+}
