Node: the operators' limit of a head is in force

Seen: a head of 14 KB was served with a limit of 8 KB, and one of 65 KB would have been.

Cause: the reader of a caller's connection got a constant limit of 64 KB, and the configuration's was never looked at. Only names, values and the target counted, so that a head of empty fields could be five times as long, with a record of 16 bytes for each field.

Evidence: `node-process-tests -sg NodeProcess -sn HeadsBeyondTheOperatorsLimitAreRejected` failed on the former node (200 in place of 431).

Change: all bytes of a head count. The limit is the configuration's and 4 KB for the start line, which it needn't count; 4 KB more from peers, which add fields.

Why it works: a caller within the operators' limit stays below it, however that is counted.

Measured: the test passes; HttpMessage passes.

--- a/Libraries/HttpMessage/http_message.cpp
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -143,6 +143,7 @@
                                                           : HTTP_RESPONSE);
   Parser.data = this;
   State = read_state::InHead;
+  HeadBytes = 0;
   Head.clear();
   Body.clear();
   ContentLength.reset();
@@ -228,7 +229,8 @@
     return 0;
   }
   const std::size_t Consumed = parse(Bytes.substr(0, *Size));
-  if (Head.Text.size() + Head.Target.size() > MaxHeadBytes)
+  HeadBytes += Consumed;
+  if (HeadBytes > MaxHeadBytes)
     State = read_state::HeadTooLarge;
   else if (Lines.IsComplete && State == read_state::InHead)
     State = read_state::Malformed;
--- a/Libraries/HttpMessage/http_message.h
+++ b/Libraries/HttpMessage/http_message.h
@@ -69,7 +69,8 @@
 /// Reads one message at a time. Does not consume bytes after its end.
 class message_reader {
 public:
-  /// A head longer than \p MaxHeadBytes leads to read_state::HeadTooLarge.
+  /// A head longer than \p MaxHeadBytes, with its line ends, leads to
+  /// read_state::HeadTooLarge.
   message_reader(message_kind Kind, std::size_t MaxHeadBytes);
   message_reader(const message_reader &) = delete;
   message_reader &operator=(const message_reader &) = delete;
@@ -78,6 +79,9 @@
   /// request, whose head states the length of a body that is not sent.
   void reset(bool WithoutBody = false);
 
+  /// Changes the limit of the constructor.
+  void setMaxHeadBytes(std::size_t Bytes) { MaxHeadBytes = Bytes; }
+
   /// Parses \p Bytes and returns how many of them belong to this message.
   /// Appends body bytes to body().
   std::size_t feed(std::string_view Bytes);
@@ -118,6 +122,8 @@
   std::size_t MaxHeadBytes;
   http_parser Parser{};
   read_state State = read_state::InHead;
+  /// Bytes of the head so far.
+  std::size_t HeadBytes = 0;
   message_head Head;
   std::string Body;
   std::optional<std::uint64_t> ContentLength;
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -21,9 +21,10 @@
 static constexpr duration CloseTimeout = std::chrono::seconds(1);
 /// A caller that has taken nothing for this long may be closed for a new one.
 static constexpr duration StallTime = std::chrono::seconds(1);
-/// Limits the head size until a configuration, which has its own limit, is
-/// applied.
-static constexpr std::size_t HardHeadLimit = 65'536;
+/// The operators' limit needn't count the start line, nor what another instance
+/// adds to a forwarded request.
+static constexpr std::size_t StartLineBytes = 4'096;
+static constexpr std::size_t StatementBytes = 4'096;
 /// Request bodies may use one part in this many of the memory limit.
 static constexpr std::size_t BodyMemoryDivisor = 4;
 
@@ -33,7 +34,7 @@
 caller_connection::caller_connection(node &Node, target_pool &Pool,
                                      caller_server &Server)
     : Node(Node), Pool(Pool), Server(Server), Stream(Node.Loop, *this),
-      Reader(message_kind::Request, HardHeadLimit), Input(Node.RequestMemory),
+      Reader(message_kind::Request, StartLineBytes), Input(Node.RequestMemory),
       Memory(Node.ResponseMemory) {
   Node.RequestMemory.Holders.insert(this);
   updateMemory();
@@ -88,6 +89,12 @@
             (DeferredRequest ? memoryOf(*DeferredRequest) : 0));
 }
 
+std::size_t caller_connection::maxHeadBytes() const {
+  const bool IsFromPeer = Server.kind() == caller_kind::Peer;
+  return limits().MaxHeadBytes + StartLineBytes +
+         (IsFromPeer ? StatementBytes : 0);
+}
+
 bool caller_connection::open(int Descriptor) {
   recordActivity();
   Stream.limitReads(inputAllowance(Node.RequestMemory));
@@ -305,6 +312,7 @@
   if (!Reader.hasStarted()) {
     RequestStartedAt = LastBytesAt;
     IsHeadHandled = false;
+    Reader.setMaxHeadBytes(maxHeadBytes());
     setTimer(limits().HeadTimeout, &caller_connection::onReadTimeout);
   }
   const std::size_t Taken = Reader.feed(Bytes);
--- a/Services/Node/caller_connection.h
+++ b/Services/Node/caller_connection.h
@@ -101,6 +101,7 @@
   void onReadTimeout();
   void releaseBody();
   const request_limits &limits() const;
+  [[nodiscard]] std::size_t maxHeadBytes() const;
 
   node &Node;
   target_pool &Pool;
--- a/Tests/NodeProcesses/node_process_test.cpp
+++ b/Tests/NodeProcesses/node_process_test.cpp
@@ -225,6 +225,19 @@
   LONGS_EQUAL(200, Fleet.fetch(*Fleet.Node, "/safe/x", "id-1").Status);
 }
 
+// Failure: a head may be several times as long as the operators permit.
+TEST(NodeProcess, HeadsBeyondTheOperatorsLimitAreRejected) {
+  small_fleet Fleet;
+  Fleet.Fields = cat("X-Field: ", std::string(7'900, 'x'), "\r\n");
+  LONGS_EQUAL(200, Fleet.fetch(*Fleet.Node, "/safe/x", "id-1").Status);
+  Fleet.Fields = cat("X-Field: ", std::string(14'000, 'x'), "\r\n");
+  LONGS_EQUAL(431, Fleet.fetch(*Fleet.Node, "/safe/x", "id-2").Status);
+  Fleet.Fields.clear();
+  for (int Field = 0; Field < 3'500; ++Field)
+    Fleet.Fields.append("a:\r\n");
+  LONGS_EQUAL(431, Fleet.fetch(*Fleet.Node, "/safe/x", "id-3").Status);
+}
+
 // Failure: a node refuses a route 11 s after the store accepted it. The store
 // stops responding for less than the node's keep-alive interval and drops the
 // watches; the node waits too long before it renews a watch.
