HttpMessage: a head's Connection fields are parsed once

Seen: a node did not answer others while callers sent heads of 60 KB that list thousands of fields as hop-by-hop.

Cause: for each field of a head the value of its Connection field was split again and searched, for callers' requests and for servers' responses. 14,000 options and 6,000 fields make 84 million comparisons a request. Of several Connection fields only the first counted.

Change: connection_options holds the names in a set.

Why it works: the time for a head grows with its length alone.

--- a/Libraries/HttpMessage/http_message.cpp
+++ b/Libraries/HttpMessage/http_message.cpp
@@ -1,7 +1,5 @@
 #include "HttpMessage/http_message.h"
 
-#include "Text/text.h"
-
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -279,14 +277,18 @@
   });
 }
 
-bool isListedInConnection(const message_head &Head, std::string_view Name) {
-  const auto Connection = Head.find("connection");
-  if (!Connection)
-    return false;
-  for (std::string_view Token : split(*Connection, ','))
-    if (equalsIgnoringCase(strip(Token), Name))
-      return true;
-  return false;
+connection_options::connection_options(const message_head &Head) {
+  for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
+    const auto Field = Head.fieldAt(Index);
+    if (!equalsIgnoringCase(Field.Name, "connection"))
+      continue;
+    for (std::string_view Token : split(Field.Value, ','))
+      Names.insert(toLower(strip(Token)));
+  }
+}
+
+bool connection_options::contains(std::string_view Name) const {
+  return !Names.empty() && Names.contains(toLower(Name));
 }
 
 std::optional<double> retryAfterSeconds(const message_head &Head) {
--- a/Libraries/HttpMessage/http_message.h
+++ b/Libraries/HttpMessage/http_message.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "HttpMessage/framing.h"
+#include "Text/text.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -139,8 +140,19 @@
 
 /// Whether \p Name is a hop-by-hop field, which is not forwarded.
 bool isHopByHop(std::string_view Name);
-/// Whether the head's Connection field lists \p Name.
-bool isListedInConnection(const message_head &Head, std::string_view Name);
+/// The names that the Connection fields of a head list: fields of those names
+/// are hop-by-hop, too. They are parsed once, since a head may have thousands
+/// of fields and list as many.
+class connection_options {
+public:
+  explicit connection_options(const message_head &Head);
+  /// Whether the head lists \p Name, ignoring case.
+  [[nodiscard]] bool contains(std::string_view Name) const;
+
+private:
+  /// In lower case.
+  text_set Names;
+};
 
 /// Returns the value of the Retry-After field in seconds, which may be
 /// fractional. Returns none if the field is missing or holds anything other
--- a/Services/Node/caller_connection.cpp
+++ b/Services/Node/caller_connection.cpp
@@ -403,6 +403,7 @@
                  : forwarding_fields();
   if (IsFromPeer)
     Request.Forwarded = Forwarding.Request;
+  const connection_options Options(Head);
   for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
     const auto Field = Head.fieldAt(Index);
     if (Forwarding.contains(Index))
@@ -415,8 +416,7 @@
                         equalsIgnoringCase(Field.Name, Wire.ExpectedTarget) ||
                         equalsIgnoringCase(Field.Name, "content-length") ||
                         equalsIgnoringCase(Field.Name, "expect");
-    if (!IsOurs && !isHopByHop(Field.Name) &&
-        !isListedInConnection(Head, Field.Name))
+    if (!IsOurs && !isHopByHop(Field.Name) && !Options.contains(Field.Name))
       appendField(Request.Fields, Field.Name, Field.Value);
   }
   Request.Body = std::move(Reader.body());
--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -285,10 +285,11 @@
 void exchange::storeResponseHead(const message_head &Head) {
   Status = Head.status();
   ResponseFields.clear();
+  const connection_options Options(Head);
   for (std::size_t Index = 0; Index < Head.fieldCount(); ++Index) {
     const auto Field = Head.fieldAt(Index);
     const bool IsLength = equalsIgnoringCase(Field.Name, "content-length");
-    if (isHopByHop(Field.Name) || isListedInConnection(Head, Field.Name) ||
+    if (isHopByHop(Field.Name) || Options.contains(Field.Name) ||
         (IsLength && Request.Method != "HEAD") ||
         (Request.Forwarded && isOwnResponseField(Field.Name)))
       continue;
--- a/Tests/NodeProcesses/crowd_test.cpp
+++ b/Tests/NodeProcesses/crowd_test.cpp
@@ -80,6 +80,22 @@
   }
 }
 
+// Failure: heads that list thousands of fields as hop-by-hop keep the loop from
+// others, since each list is searched for each field.
+TEST(CrowdAtCallers, HeadsWithManyConnectionOptions) {
+  crowd_fleet Fleet;
+  Fleet.MaxHeadBytes = 60'000;
+  std::string Options = "Connection: close-not";
+  for (int Option = 0; Option < 14'000; ++Option)
+    Options.append(",a");
+  std::string Fields;
+  for (int Field = 0; Field < 6'000; ++Field)
+    Fields.append("b:\r\n");
+  checkRequestsAhead(Fleet, Fleet.Node->Callers,
+                     crowdRequest(NoRoute, Options + "\r\n" + Fields),
+                     "many connection options");
+}
+
 // Failure: the same before the first configuration.
 TEST(CrowdAtCallers, RequestsBeforeTheFirstConfiguration) {
   crowd_fleet Fleet;
--- a/Tests/NodeProcesses/node_fleet.cpp
+++ b/Tests/NodeProcesses/node_fleet.cpp
@@ -139,7 +139,7 @@
                     {{"resource_kind", "limits"},
                      {"metadata", json::object()},
                      {"specification",
-                      {{"max_header_bytes", 8'192},
+                      {{"max_header_bytes", MaxHeadBytes},
                        {"max_body_bytes", 100'000},
                        {"header_timeout", "1000ms"},
                        {"idle_timeout", IdleTimeout}}}}};
--- a/Tests/NodeProcesses/node_fleet.h
+++ b/Tests/NodeProcesses/node_fleet.h
@@ -99,6 +99,8 @@
   std::vector<std::string> RouteRegions;
   /// Requests beyond its limit that an account may make in the window.
   double QuotaSlack = 20;
+  /// Largest head of a request, in bytes.
+  int MaxHeadBytes = 8'192;
   /// How long a kept connection of a caller may be idle.
   std::string IdleTimeout = "15s";
   /// Time from SIGTERM to the end of a process.
