Tests: reserve, and no widening of a product

Change: vectors are reserved before their loops; the memory bound of a crowd is compared in megabytes instead of kilobytes. It is the same bound: 47,999 KB pass, 48,000 KB fail.

--- a/Tests/NodeProcesses/crowd_fleet.cpp
+++ b/Tests/NodeProcesses/crowd_fleet.cpp
@@ -57,7 +57,7 @@
 
 void crowd_fleet::checkLimits(const char *Name) {
   CHECK_TEXT(!hasExited(*Node), Name);
-  CHECK_TEXT(peakMemoryKb(Node->Process) < MemoryMb * 1'000, Name);
+  CHECK_TEXT(peakMemoryKb(Node->Process) / 1'000 < MemoryMb, Name);
   CHECK_TEXT(openDescriptors(Node->Process) <=
                  static_cast<std::size_t>(FileDescriptors),
              Name);
--- a/Tests/connection_memory_test.cpp
+++ b/Tests/connection_memory_test.cpp
@@ -73,6 +73,7 @@
   memory_account Memory;
   setRequestLimit(Memory, /*OwnMb=*/1, /*MemoryMb=*/260);
   std::vector<std::unique_ptr<test_holder>> All;
+  All.reserve(100);
   for (int Caller = 0; Caller < 50; ++Caller)
     All.push_back(std::make_unique<test_holder>(Memory, 2'000));
   CHECK(holdersToDrop(Memory).empty());
@@ -101,6 +102,7 @@
   setRequestLimit(Memory, /*OwnMb=*/4, /*MemoryMb=*/260);
   LONGS_EQUAL(65'536, inputAllowance(Memory));
   std::vector<std::unique_ptr<test_holder>> All;
+  All.reserve(200);
   for (int Caller = 0; Caller < 200; ++Caller)
     All.push_back(std::make_unique<test_holder>(Memory, 0));
   LONGS_EQUAL(10'000, inputAllowance(Memory));
