Node: comments stand before what they are about

Seen: a new constant had split the comment of BootstrapCheckPeriod from it, and the order of the memory accounts was explained in the comment of the first.

Change: the comments alone.

--- a/Services/Node/exchange.cpp
+++ b/Services/Node/exchange.cpp
@@ -13,11 +13,11 @@
 static constexpr int MaxUnreachableTargets = 3;
 /// Time between the check of an API key and the request's arrival at a server.
 static constexpr duration RevocationMargin = std::chrono::milliseconds(500);
+/// An exchange with its plan, timers and slot, and a connection to a server.
+static constexpr std::size_t ExchangeBytes = sizeof(exchange) + 2'048;
 /// Interval at which a request that arrives during bootstrap is tried again:
 /// short compared to the latency objectives, and few wake-ups while the lists
 /// are fetched.
-/// An exchange with its plan, timers and slot, and a connection to a server.
-static constexpr std::size_t ExchangeBytes = sizeof(exchange) + 2'048;
 static constexpr duration BootstrapCheckPeriod = std::chrono::milliseconds(10);
 
 std::size_t memoryOf(const caller_request &Request) {
--- a/Services/Node/node.h
+++ b/Services/Node/node.h
@@ -87,7 +87,9 @@
 struct node {
   node(node_settings Settings, const wire_names &Wire);
 
-  /// Before the loop, whose retired objects count towards them.
+  // The accounts are before the loop, since its retired objects count towards
+  // them until they are destroyed.
+
   /// Responses that callers have not taken yet.
   memory_account ResponseMemory;
   /// Requests of callers and peers that are read or served, without their
